--- a/internal/proto/leg/leg.go
+++ b/internal/proto/leg/leg.go
@@ -42,6 +42,8 @@
 	Retry string
 	// Caller is the service of the host where the request began.
 	Caller string
+	// Instance is the id of the target that answers.
+	Instance string
 }
 
 // Hop accompanies a request from an outbound to an inbound side.
@@ -51,8 +53,10 @@
 	// Path names the operation, the route of the request.
 	Path       string
 	Importance rules.Importance
-	// Deep says that the request is a call of a running request.
-	Deep bool
+	// Root is the hash of the id of the request that began the chain of calls,
+	// Depth the number of calls above this one.
+	Root  uint64
+	Depth int
 	// Key identifies the attempt at its guard, empty if the request may run
 	// more than once.
 	Key   string
@@ -91,6 +95,9 @@
 // Word is what the inbound side says with its answer.
 type Word struct {
 	Outcome Outcome
+	// Arrived says that the request reached the target itself, whether it ran
+	// there or not.
+	Arrived bool
 	// Reason says in one word why the request was not run.
 	Reason string
 	// Running counts the requests that hold a slot or wait for one, Limit
@@ -103,11 +110,14 @@
 	// Wait is the time after which a refused request is welcome again.
 	Wait  clock.Milli
 	Stamp ticket.Stamp
+	// Heard says that the daemon beside the target said this. It is false for
+	// what the sender concludes by itself, and not sent.
+	Heard bool
 }
 
 const (
-	hopParts  = 8
-	wordParts = 9
+	hopParts  = 9
+	wordParts = 10
 	base36    = 36
 )
 
@@ -117,11 +127,12 @@
 		h.Target,
 		h.Path,
 		strconv.Itoa(int(h.Importance)),
-		flag(h.Deep),
+		strconv.Itoa(h.Depth),
 		flag(h.Ask),
 		h.Key,
 		strconv.FormatUint(h.Stamp.Incarnation, base36),
 		strconv.FormatUint(h.Stamp.Generation, base36),
+		strconv.FormatUint(h.Root, base36),
 	}, ",")
 }
 
@@ -135,15 +146,24 @@
 	if err != nil || !rules.Importance(importance).IsValid() {
 		return Hop{}, fmt.Errorf("leg: parse hop: importance %q", parts[2])
 	}
+	depth, err := strconv.Atoi(parts[3])
+	if err != nil || depth < 0 {
+		return Hop{}, fmt.Errorf("leg: parse hop: depth %q", parts[3])
+	}
 	stamp, err := parseStamp(parts[6], parts[7])
 	if err != nil {
 		return Hop{}, fmt.Errorf("leg: parse hop: %w", err)
 	}
+	root, err := strconv.ParseUint(parts[8], base36, 64)
+	if err != nil {
+		return Hop{}, fmt.Errorf("leg: parse hop: root: %w", err)
+	}
 	return Hop{
 		Target:     parts[0],
 		Path:       parts[1],
 		Importance: rules.Importance(importance),
-		Deep:       parts[3] == "1",
+		Root:       root,
+		Depth:      depth,
 		Ask:        parts[4] == "1",
 		Key:        parts[5],
 		Stamp:      stamp,
@@ -162,6 +182,7 @@
 		strconv.FormatInt(int64(w.Wait), 10),
 		strconv.FormatUint(w.Stamp.Incarnation, base36),
 		strconv.FormatUint(w.Stamp.Generation, base36),
+		flag(w.Arrived),
 	}, ",")
 }
 
@@ -196,6 +217,8 @@
 	}
 	return Word{
 		Outcome:   Outcome(numbers[0]),
+		Arrived:   parts[9] == "1",
+		Heard:     true,
 		Reason:    parts[1],
 		Running:   numbers[1],
 		Limit:     numbers[2],
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -260,6 +260,8 @@
 	stopStep = 20 * clock.Millisecond
 	// stopMargin is the time before the kill at which the process ends.
 	stopMargin = 300 * clock.Millisecond
+	// stopAnswer is the time before that by which the last answers are due.
+	stopAnswer = 100 * clock.Millisecond
 )
 
 // Stop ends the daemon. It says at once that it is not ready and takes no new
@@ -271,6 +273,7 @@
 	d.stopping.Store(true)
 	d.inbound.Drain()
 	d.callers.Stop()
+	d.outbound.Close(began + grace - stopMargin - stopAnswer)
 	d.log.Info("stopping")
 	for {
 		passed := d.clock.Now() - began
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -55,6 +55,9 @@
 		a, word := o.attempt(ctx, c, &t)
 		o.finish(s, c, t, flight, word)
 		c.reason = word.Outcome.String() + " " + word.Reason
+		if word.Arrived || word.Outcome == leg.Unknown {
+			c.arrived++
+		}
 		switch word.Outcome {
 		case leg.Done:
 			if !o.mayImprove(c, &a) {
@@ -64,31 +67,41 @@
 		case leg.NotRun:
 			c.wait = max(c.wait, word.Wait)
 			moves++
-			if ctx.Err() == nil && moves < movesMost && o.isTimeLeft(c) {
+			if ctx.Err() == nil && moves < movesMost && o.mayMove(s, c, word) {
 				continue
 			}
+			return o.giveUp(ctx, c, mayHaveRun, kept)
 		default:
 			mayHaveRun = true
 		}
-		if ctx.Err() != nil || word.Outcome == leg.NotRun || c.route.Once || !o.mayRepeat(s, c) {
+		if ctx.Err() != nil || c.route.Once || !o.mayRepeat(s, c) {
 			break
 		}
 	}
-	if kept != nil {
-		return *kept, endDone
+	return o.giveUp(ctx, c, mayHaveRun, kept)
+}
+
+// mayMove reports whether a request that was not run may go to another target.
+// One that reached a target is charged to the budget like a repeat.
+func (o *Outbound) mayMove(s *service, c *call, word leg.Word) bool {
+	if word.Arrived {
+		return o.mayRepeat(s, c)
 	}
-	return o.giveUp(ctx, c, mayHaveRun)
+	return o.isTimeLeft(c)
 }
 
 // mayImprove reports whether an answer is a failure that another target may
 // not have.
 func (o *Outbound) mayImprove(c *call, a *guard.Answer) bool {
-	return a.Status == fasthttp.StatusInternalServerError && !c.route.Once && !c.deep
+	return a.Status == fasthttp.StatusInternalServerError && !c.route.Once
 }
 
-// giveUp returns the answer for a request that no target answered.
-func (o *Outbound) giveUp(ctx context.Context, c *call, mayHaveRun bool) (guard.Answer, string) {
+// giveUp returns the answer for a request that no target answered with success:
+// a target's own failure if there was one.
+func (o *Outbound) giveUp(ctx context.Context, c *call, mayHaveRun bool, kept *guard.Answer) (guard.Answer, string) {
 	switch {
+	case kept != nil:
+		return *kept, endDone
 	case !mayHaveRun:
 		return o.cfg.refusal(c.id, "not run: "+c.reason, max(c.wait, refusedWait)), endRefused
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -103,7 +116,7 @@
 
 // mayRepeat takes one attempt from the budget, if there is time for it.
 func (o *Outbound) mayRepeat(s *service, c *call) bool {
-	if c.sent >= max(c.route.Attempts, 1) || !o.isTimeLeft(c) {
+	if c.arrived >= max(c.route.Attempts, 1) || !o.isTimeLeft(c) {
 		return false
 	}
 	s.mu.Lock()
@@ -157,7 +170,7 @@
 		s.mark(now, t.ID)
 		return
 	}
-	if word.Limit > 0 {
+	if word.Heard {
 		s.learn(now, t.ID, c.route.Name, word)
 	}
 }
@@ -169,7 +182,8 @@
 		Target:     t.ID,
 		Path:       c.route.Name,
 		Importance: c.importance,
-		Deep:       c.deep,
+		Root:       c.root,
+		Depth:      c.depth,
 	}
 	if !c.route.Once {
 		return o.send(ctx, c, t, hop, xchg.Options{})
@@ -199,9 +213,6 @@
 		}
 	}
 	a.Fields = xchg.Without(a.Fields, leg.HeaderWord)
-	if word.Outcome == leg.Done {
-		c.sent++
-	}
 	return a, word
 }
 
@@ -249,7 +260,7 @@
 		word.Outcome = leg.NotRun
 		return a, word
 	}
-	if word.Outcome == leg.Unknown && word.Limit == 0 {
+	if word.Outcome == leg.Unknown && !word.Heard {
 		return o.settle(ctx, c, t, hop)
 	}
 	return a, word
@@ -288,7 +299,7 @@
 		})
 		cancel()
 		switch {
-		case word.Limit > 0 && word.Outcome != leg.Running:
+		case word.Heard && word.Outcome != leg.Running:
 			if word.Outcome == leg.Elsewhere {
 				word.Outcome = leg.Unknown
 			}
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,7 @@
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/ticket"
 	"siskinswitch.example/siskin/internal/trans/slot"
 	"siskinswitch.example/siskin/internal/trans/xchg"
@@ -41,6 +43,9 @@
 	leavingGrace = clock.Second
 	// refusedWait is the least time after which a refused request is welcome.
 	refusedWait = 200 * clock.Millisecond
+	// reasonUnreached is given for a request of which nothing was sent to the
+	// target.
+	reasonUnreached = "unreached"
 )
 
 // Inbound is the only door to the target of its host. It is safe for
@@ -49,11 +54,21 @@
 	cfg   Config
 	table *guard.Table
 	apps  *xchg.Client
+	// Floor returns the threshold below which a request of the path would fail
+	// deeper in the chain of calls. It is set before the first request.
+	Floor func(path string) admit.Threshold
+
+	runsMu sync.Mutex
+	// runs holds the requests at the target by their ids.
+	runs map[string]Parent
 
 	mu   sync.Mutex
 	gate *slot.Gate
 	// target is the record that the gate was made for.
 	target model.Target
+	// actual is the id of the target as it was last told, by the target itself
+	// or its record, empty if unknown.
+	actual string
 	// left is the instant at which the target's record said that it leaves or
 	// went away, 0 while it is in use.
 	left     clock.Milli
@@ -63,7 +78,9 @@
 // NewInbound returns an open inbound side.
 func NewInbound(cfg Config) *Inbound {
 	return &Inbound{
-		cfg: cfg,
+		cfg:   cfg,
+		runs:  make(map[string]Parent),
+		Floor: func(string) admit.Threshold { return admit.Threshold{} },
 		table: guard.New(guard.Config{
 			Bytes:       guardBytes,
 			Largest:     guardLargest,
@@ -113,6 +130,13 @@
 // what is known of the attempt. The answer is the target's own only if the
 // outcome is [leg.Done].
 func (n *Inbound) Run(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
+	a, word := n.take(ctx, r, hop)
+	word.Heard = true
+	word.Threshold = word.Threshold.Max(n.Floor(hop.Path))
+	return a, word
+}
+
+func (n *Inbound) take(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
 	if hop.Ask {
 		return n.ask(r, hop)
 	}
@@ -202,30 +226,36 @@
 // admit waits for a slot of the target and runs the request in it.
 func (n *Inbound) admit(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
 	now := n.cfg.Clock.Now()
-	left, ok := n.left0(now)
+	gate, ok := n.open(now)
 	if !ok {
 		return n.refuse(r, hop, "leaving")
 	}
+	if n.isOther(hop.Target) {
+		return n.refuse(r, hop, "moved")
+	}
+	if !n.Floor(hop.Path).Passes(hop.Importance, hop.Root) {
+		return n.refuse(r, hop, "deeper")
+	}
 	deadline := now + leftOf(r, n.cfg.Headers.Deadline)
-	work, d, signals := left.Offer(admit.Work{
+	work, d, signals := gate.Offer(admit.Work{
 		Path:       hop.Path,
 		Importance: hop.Importance,
-		Root:       xxhash.Sum64String(r.Get(n.cfg.Headers.ID)),
-		Depth:      depthOf(hop),
+		Root:       hop.Root,
+		Depth:      hop.Depth,
 		Deadline:   deadline,
 	})
 	switch d.Verdict {
 	case admit.Refuse:
 		return n.refuse(r, hop, d.Reason.String())
 	case admit.Queue:
-		if reason := n.await(ctx, left, work, signals); reason != "" {
+		if reason := n.await(ctx, gate, work, signals); reason != "" {
 			return n.refuse(r, hop, reason)
 		}
 	case admit.Run:
 	}
 	began := n.cfg.Clock.Now()
 	took := clock.Milli(-1)
-	defer func() { left.Done(work, took) }()
+	defer func() { gate.Done(work, took) }()
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, "canceled")
 	}
@@ -239,8 +269,24 @@
 	return a, word
 }
 
-// left0 returns the gate, and false if the target takes no new work.
-func (n *Inbound) left0(now clock.Milli) (*slot.Gate, bool) {
+// isOther reports whether the target that a request is meant for is known not
+// to be the one on this host. The target would turn it away, and its arrival
+// would count.
+func (n *Inbound) isOther(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.actual != "" && n.actual != id
+}
+
+// setActual records the id that the target itself gave.
+func (n *Inbound) setActual(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.actual = id
+}
+
+// open returns the gate, and false if the target takes no new work.
+func (n *Inbound) open(now clock.Milli) (*slot.Gate, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.draining {
@@ -274,7 +320,6 @@
 // send makes the exchange with the target and records how it ended.
 func (n *Inbound) send(ctx context.Context, r *xchg.Request, hop leg.Hop, deadline clock.Milli) (guard.Answer, leg.Word) {
 	h := &n.cfg.Headers
-	id := r.Get(h.ID)
 	out := *r
 	out.Fields = xchg.With(r.Fields, h.Expected, hop.Target)
 	out.Fields = xchg.With(out.Fields, h.Deadline, strconv.FormatInt(int64(max(deadline-n.cfg.Clock.Now(), 1)), 10))
@@ -282,14 +327,65 @@
 	if hop.Key != "" {
 		o.Rested = targetRested
 	}
+	defer n.enter(r.Get(h.ID), hop)()
 	a, err := n.apps.Do(ctx, n.cfg.Self.Target, &out, o)
+	a, word := n.judge(r, hop, a, err)
+	word.Arrived = word.Reason != reasonUnreached
+	return a, word
+}
+
+// Parent is a request at the target as its own calls inherit from it.
+type Parent struct {
+	Path       string
+	Importance rules.Importance
+	Root       uint64
+	Depth      int
+}
+
+// enter records that a request is at the target and returns the function that
+// ends that.
+func (n *Inbound) enter(id string, hop leg.Hop) func() {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	n.runs[id] = Parent{
+		Path:       hop.Path,
+		Importance: hop.Importance,
+		Root:       hop.Root,
+		Depth:      hop.Depth,
+	}
+	return func() {
+		n.runsMu.Lock()
+		defer n.runsMu.Unlock()
+		delete(n.runs, id)
+	}
+}
+
+// Parent returns the request at the target that made the call of the id. A
+// target derives the ids of its calls from that of the request that it runs,
+// with a dot between the parts. Only the order of work rests on this.
+func (n *Inbound) Parent(id string) (Parent, bool) {
+	dot := strings.LastIndexByte(id, '.')
+	if dot < 0 {
+		return Parent{}, false
+	}
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	p, ok := n.runs[id[:dot]]
+	return p, ok
+}
+
+// judge tells from the exchange with the target what became of the request,
+// and records it.
+func (n *Inbound) judge(r *xchg.Request, hop leg.Hop, a guard.Answer, err error) (guard.Answer, leg.Word) {
+	h := &n.cfg.Headers
+	id := r.Get(h.ID)
 	now := n.cfg.Clock.Now()
 	var e *xchg.Error
 	switch {
 	case errors.As(err, &e) && e.Kind == xchg.Unsent:
 		n.unrun(now, hop)
 		n.cfg.Log.Info("target not reached", zap.String("id", id), zap.Error(err))
-		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, "unreached")
+		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, reasonUnreached)
 	case err != nil:
 		if hop.Key != "" {
 			n.table.Fail(now, hop.Key)
@@ -299,6 +395,9 @@
 	case a.Status == fasthttp.StatusMisdirectedRequest || xchg.Get(a.Fields, h.NotRun) != "":
 		n.unrun(now, hop)
 		n.cfg.Counts.Refused("target")
+		if a.Status == fasthttp.StatusMisdirectedRequest {
+			n.setActual(xchg.Get(a.Fields, h.Instance))
+		}
 		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, "target-"+strconv.Itoa(a.Status))
 	case !isWhole(&a, h.Signature):
 		if hop.Key != "" {
@@ -344,6 +443,7 @@
 		return
 	}
 	n.target = t
+	n.actual = t.ID
 	n.gate = slot.New(admit.Config{
 		Slots: max(t.Slots, 1),
 	}, n.cfg.Clock)
@@ -376,12 +476,3 @@
 	}
 	return clock.Milli(ms)
 }
-
-// depthOf returns 1 for a call of a running request, which comes before new
-// work of the same importance.
-func depthOf(hop leg.Hop) int {
-	if hop.Deep {
-		return 1
-	}
-	return 0
-}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -5,11 +5,13 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/pick"
@@ -29,6 +31,9 @@
 	// unreadyWait is the time after which a request is welcome again that came
 	// before the configuration was known.
 	unreadyWait = 300 * clock.Millisecond
+	// closingWait is the time after which a request is welcome again that came
+	// shortly before the daemon ends.
+	closingWait = clock.Second
 )
 
 // Outbound takes requests of callers on its host, the target among them. It is
@@ -38,6 +43,9 @@
 	peers *xchg.Client
 	local *Inbound
 	link  *pick.Bucket
+	calls *edges
+	// closing is the instant at which the daemon ends, 0 while none is set.
+	closing atomic.Int64
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -49,8 +57,9 @@
 // NewOutbound returns an outbound side that hands requests for the target of
 // its own host to local.
 func NewOutbound(cfg Config, local *Inbound) *Outbound {
-	return &Outbound{
-		cfg: cfg,
+	o := &Outbound{
+		cfg:   cfg,
+		calls: newEdges(),
 		peers: xchg.NewClient(xchg.ClientConfig{
 			Clock: cfg.Clock,
 			Dial:  dialTime,
@@ -65,8 +74,28 @@
 		turns:    make(map[string]float64),
 		rand:     rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 	}
+	local.Floor = o.floor
+	return o
 }
 
+// floor returns the threshold below which a request of the path would be
+// refused at one of the services that it calls.
+func (o *Outbound) floor(path string) admit.Threshold {
+	now := o.cfg.Clock.Now()
+	floor := admit.Threshold{}
+	for _, e := range o.calls.of(now, path) {
+		s := o.service(e.service)
+		s.mu.Lock()
+		floor = floor.Max(s.picker.Floor(now, e.path))
+		s.mu.Unlock()
+	}
+	return floor
+}
+
+// Close makes the outbound side refuse the requests that may not be answered
+// before the daemon ends.
+func (o *Outbound) Close(end clock.Milli) { o.closing.Store(int64(end)) }
+
 // Tick closes connections that have been idle for too long.
 func (o *Outbound) Tick() { o.peers.Sweep() }
 
@@ -98,6 +127,12 @@
 		}
 	}
 	c := o.newCall(r, id, route, v)
+	if end := clock.Milli(o.closing.Load()); end > 0 && c.deadline > end {
+		return xchg.Reply{
+			Answer: o.cfg.refusal(id, "the daemon stops", closingWait),
+			Close:  true,
+		}
+	}
 	ctx, cancel := xchg.Until(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
 	a, end := o.run(ctx, c)
@@ -130,13 +165,13 @@
 	// importance and root give the order at gates.
 	importance rules.Importance
 	root       uint64
-	deep       bool
+	depth      int
 	deadline   clock.Milli
-	// limit bounds what the target may be told to take: the caller's own time.
-	tried  []string
-	sent   int
-	reason string
-	wait   clock.Milli
+	tried      []string
+	// arrived counts the attempts that reached a target or may have.
+	arrived int
+	reason  string
+	wait    clock.Milli
 }
 
 func (o *Outbound) newCall(r *xchg.Request, id string, route *model.Route, v *model.View) *call {
@@ -155,6 +190,15 @@
 		deadline:   r.Arrived + left,
 	}
 	r.Fields = xchg.With(r.Fields, o.cfg.Headers.Caller, o.cfg.Self.Service)
+	if p, ok := o.local.Parent(id); ok {
+		c.importance = p.Importance
+		c.root = p.Root
+		c.depth = p.Depth + 1
+		o.calls.add(o.cfg.Clock.Now(), p.Path, edge{
+			service: c.service,
+			path:    route.Name,
+		})
+	}
 	return c
 }
 
