Repeat only next to the failure, and test the path on an emulator

A failure at the deepest service was repeated at each level of the chain, and each repeat repeated the calls below.

Change: a call of a run that is a repeat is not repeated again, a failure that follows from a failed call is not repeated, and each daemon uses 0.4 of its part of the budget. A service without a target in the region is reached over the link whatever the link's budget says: the emulator's test of shares found light traffic refused because the budget was used up.

Added platform/emul: store, targets and callers that speak the platform's protocol, real daemons on loopback. Tests without the bench: answers told apart, hang-up through both hops, leaving by record, store away, versions never back, shares, at most once over kills.

--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -43,6 +43,10 @@
 		path: "internal/proto/",
 		rank: Protocol,
 	},
+	{
+		path: "platform/emul/",
+		rank: Program,
+	},
 	{
 		path: "platform/",
 		rank: Protocol,
--- a/internal/proto/leg/leg.go
+++ b/internal/proto/leg/leg.go
@@ -61,10 +61,16 @@
 	// more than once.
 	Key   string
 	Stamp ticket.Stamp
+	// Repeat says that the request ran before, or is a call of one that did.
+	Repeat bool
 	// Ask says that only the state of the attempt is asked for.
 	Ask bool
 }
 
+// ReasonCall is the reason of a word about a request that the target failed
+// after one of its own calls had failed.
+const ReasonCall = "call"
+
 // Outcome is what became of a request at the inbound side.
 type Outcome uint8
 
@@ -116,7 +122,7 @@
 }
 
 const (
-	hopParts  = 9
+	hopParts  = 10
 	wordParts = 10
 	base36    = 36
 )
@@ -133,6 +139,7 @@
 		strconv.FormatUint(h.Stamp.Incarnation, base36),
 		strconv.FormatUint(h.Stamp.Generation, base36),
 		strconv.FormatUint(h.Root, base36),
+		flag(h.Repeat),
 	}, ",")
 }
 
@@ -165,6 +172,7 @@
 		Root:       root,
 		Depth:      depth,
 		Ask:        parts[4] == "1",
+		Repeat:     parts[9] == "1",
 		Key:        parts[5],
 		Stamp:      stamp,
 	}, nil
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -298,3 +298,14 @@
 		set.Ready != d.set.Ready || set.Target != d.set.Target || set.Store != d.set.Store
 	d.log.Info("settings read again", zap.Bool("restart", changed))
 }
+
+// Kill ends the daemon at once, as when its process is killed.
+func (d *Daemon) Kill() {
+	d.stopping.Store(true)
+	for _, l := range d.listens {
+		_ = l.Close()
+	}
+	d.callers.CloseAll()
+	d.peers.CloseAll()
+	d.cancel()
+}
--- a/internal/state/pick/picker.go
+++ b/internal/state/pick/picker.go
@@ -80,7 +80,7 @@
 	if p.cfg.RoundRobin && len(p.near) > 0 {
 		return p.next(), nil
 	}
-	if p.wantsFar(now, &q) && p.cfg.Link.Take(now, q.Bytes, reserve(q.Importance)) {
+	if p.wantsFar(now, &q) && (p.nearby == 0 || p.cfg.Link.Take(now, q.Bytes, reserve(q.Importance))) {
 		return Choice{
 			Target: p.best(now, p.far, q.Cost).Name,
 			Spill:  true,
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -60,7 +60,7 @@
 		}
 		switch word.Outcome {
 		case leg.Done:
-			if !o.mayImprove(c, &a) {
+			if !o.mayImprove(c, &a, word) {
 				return a, endDone
 			}
 			kept = &a
@@ -91,9 +91,10 @@
 }
 
 // mayImprove reports whether an answer is a failure that another target may
-// not have.
-func (o *Outbound) mayImprove(c *call, a *guard.Answer) bool {
-	return a.Status == fasthttp.StatusInternalServerError && !c.route.Once
+// not have. A target that failed because a call of its own did is no worse than
+// others; that call has been repeated already.
+func (o *Outbound) mayImprove(c *call, a *guard.Answer, word leg.Word) bool {
+	return a.Status == fasthttp.StatusInternalServerError && !c.route.Once && word.Reason != leg.ReasonCall
 }
 
 // giveUp returns the answer for a request that no target answered with success:
@@ -114,9 +115,13 @@
 
 func (o *Outbound) isTimeLeft(c *call) bool { return c.deadline-o.cfg.Clock.Now() > leastLeft }
 
+// isRepeat reports whether the request is a call of a run that is a repeat. It
+// counts as one already and is not repeated again.
+func (c *call) isRepeat() bool { return c.parent != nil && c.parent.Repeat }
+
 // mayRepeat takes one attempt from the budget, if there is time for it.
 func (o *Outbound) mayRepeat(s *service, c *call) bool {
-	if c.arrived >= max(c.route.Attempts, 1) || !o.isTimeLeft(c) {
+	if c.arrived >= max(c.route.Attempts, 1) || !o.isTimeLeft(c) || c.isRepeat() {
 		return false
 	}
 	s.mu.Lock()
@@ -184,6 +189,7 @@
 		Importance: c.importance,
 		Root:       c.root,
 		Depth:      c.depth,
+		Repeat:     c.arrived > 0 || c.isRepeat(),
 	}
 	if !c.route.Once {
 		return o.send(ctx, c, t, hop, xchg.Options{})
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
@@ -60,7 +61,7 @@
 
 	runsMu sync.Mutex
 	// runs holds the requests at the target by their ids.
-	runs map[string]Parent
+	runs map[string]*Parent
 
 	mu   sync.Mutex
 	gate *slot.Gate
@@ -79,7 +80,7 @@
 func NewInbound(cfg Config) *Inbound {
 	return &Inbound{
 		cfg:   cfg,
-		runs:  make(map[string]Parent),
+		runs:  make(map[string]*Parent),
 		Floor: func(string) admit.Threshold { return admit.Threshold{} },
 		table: guard.New(guard.Config{
 			Bytes:       guardBytes,
@@ -327,10 +328,14 @@
 	if hop.Key != "" {
 		o.Rested = targetRested
 	}
-	defer n.enter(r.Get(h.ID), hop)()
+	run := n.enter(r.Get(h.ID), hop)
 	a, err := n.apps.Do(ctx, n.cfg.Self.Target, &out, o)
+	n.leave(r.Get(h.ID))
 	a, word := n.judge(r, hop, a, err)
 	word.Arrived = word.Reason != reasonUnreached
+	if a.Status >= fasthttp.StatusInternalServerError && run.failed.Load() {
+		word.Reason = leg.ReasonCall
+	}
 	return a, word
 }
 
@@ -340,38 +345,45 @@
 	Importance rules.Importance
 	Root       uint64
 	Depth      int
+	// Repeat says that the run is a repeat, and so are its calls.
+	Repeat bool
+	// failed says that one of its calls failed.
+	failed atomic.Bool
 }
 
-// enter records that a request is at the target and returns the function that
-// ends that.
-func (n *Inbound) enter(id string, hop leg.Hop) func() {
-	n.runsMu.Lock()
-	defer n.runsMu.Unlock()
-	n.runs[id] = Parent{
+// enter records that a request is at the target.
+func (n *Inbound) enter(id string, hop leg.Hop) *Parent {
+	p := &Parent{
 		Path:       hop.Path,
 		Importance: hop.Importance,
 		Root:       hop.Root,
 		Depth:      hop.Depth,
+		Repeat:     hop.Repeat,
 	}
-	return func() {
-		n.runsMu.Lock()
-		defer n.runsMu.Unlock()
-		delete(n.runs, id)
-	}
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	n.runs[id] = p
+	return p
+}
+
+func (n *Inbound) leave(id string) {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	delete(n.runs, id)
 }
 
-// Parent returns the request at the target that made the call of the id. A
-// target derives the ids of its calls from that of the request that it runs,
-// with a dot between the parts. Only the order of work rests on this.
-func (n *Inbound) Parent(id string) (Parent, bool) {
+// Parent returns the request at the target that made the call of the id, nil
+// if there is none. A target derives the ids of its calls from that of the
+// request that it runs, with a dot between the parts. Only the order of work
+// and the number of repeats rest on this.
+func (n *Inbound) Parent(id string) *Parent {
 	dot := strings.LastIndexByte(id, '.')
 	if dot < 0 {
-		return Parent{}, false
+		return nil
 	}
 	n.runsMu.Lock()
 	defer n.runsMu.Unlock()
-	p, ok := n.runs[id[:dot]]
-	return p, ok
+	return n.runs[id[:dot]]
 }
 
 // judge tells from the exchange with the target what became of the request,
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -138,6 +138,9 @@
 	a, end := o.run(ctx, c)
 	took := o.cfg.Clock.Now() - r.Arrived
 	o.cfg.Counts.Answered(route.Name, end, took)
+	if c.parent != nil && a.Status >= fasthttp.StatusInternalServerError {
+		c.parent.failed.Store(true)
+	}
 	if end != endDone {
 		o.cfg.Log.Info("request failed",
 			zap.String("id", id),
@@ -166,8 +169,10 @@
 	importance rules.Importance
 	root       uint64
 	depth      int
-	deadline   clock.Milli
-	tried      []string
+	// parent is the request whose call this is, nil if none is known.
+	parent   *Parent
+	deadline clock.Milli
+	tried    []string
 	// arrived counts the attempts that reached a target or may have.
 	arrived int
 	reason  string
@@ -190,7 +195,8 @@
 		deadline:   r.Arrived + left,
 	}
 	r.Fields = xchg.With(r.Fields, o.cfg.Headers.Caller, o.cfg.Self.Service)
-	if p, ok := o.local.Parent(id); ok {
+	if p := o.local.Parent(id); p != nil {
+		c.parent = p
 		c.importance = p.Importance
 		c.root = p.Root
 		c.depth = p.Depth + 1
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -21,7 +21,7 @@
 	linkBurst = 200 << 10
 	// budgetShare is the part of the fleet's retry budget that the daemons
 	// use: calls of a request that is repeated are repeated as well.
-	budgetShare = 0.5
+	budgetShare = 0.4
 )
 
 // service is what the outbound side knows of one service.
--- a/internal/trans/xchg/server.go
+++ b/internal/trans/xchg/server.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// CloseAll resets all connections.
+func (s *Server) CloseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closing.Store(true)
+		c.drop()
+	}
+}
+
 // session is one connection of a caller.
 type session struct {
 	server *Server
