Take the own centre's targets first while they have room

Reads of the store: each change of a record was a read of its own on every daemon.

Change: pick.Config.OwnFirst; changes within 150 ms of each other are one read; a list taken while the store is there no longer cuts a lapse short (test first).

--- a/internal/coord/watch/follow.go
+++ b/internal/coord/watch/follow.go
@@ -76,6 +76,9 @@
 const (
 	// watchWait is how long one watch waits at the store.
 	watchWait = 10 * clock.Second
+	// gather is the pause between a change and the next watch, in which other
+	// changes add up to one read.
+	gather = 150 * clock.Millisecond
 	// pauseFirst and pauseLast bound the pause after a failed read.
 	pauseFirst = 100 * clock.Millisecond
 	pauseLast  = 800 * clock.Millisecond
@@ -170,6 +173,10 @@
 	}
 	if len(page.Items) > 0 {
 		f.cfg.Changed(f.cfg.Clock.Now(), page.Items)
+		select {
+		case <-ctx.Done():
+		case <-f.cfg.Clock.After(gather):
+		}
 	}
 	return page.Revision, nil
 }
--- a/internal/state/model/fleet.go
+++ b/internal/state/model/fleet.go
@@ -36,12 +36,16 @@
 		next.Targets[t.ID] = t
 	}
 	for id, t := range f.Targets {
-		if _, ok := next.Targets[id]; ok || !lapse {
+		if _, ok := next.Targets[id]; ok {
 			continue
 		}
 		until, ok := f.lapsed[id]
-		if !ok {
+		switch {
+		case ok:
+		case lapse:
 			until = now + LapseTime
+		default:
+			continue
 		}
 		if now < until {
 			next.Targets[id] = t
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -10,9 +10,10 @@
 //   - Leaving and excluded targets, and those whose threshold would refuse
 //     the request, are left out.
 //   - The nearest place is used: the caller's region with a small advantage
-//     for its own centre. The other region is used only if every target here
+//     for its own centre, or the own centre alone while it has a cold target
+//     ([Config.OwnFirst]). The other region is used only if every target here
 //     is hot or refuses, a target there is not, and the byte budget of the
-//     link permits it.
+//     link permits it; or if the region has no target.
 //   - Of a few targets drawn at random, the hot ones (many requests in
 //     flight, for their slots) yield to cold ones, and of those the one with
 //     the least expected latency wins. If all are hot the least loaded wins.
@@ -71,6 +72,9 @@
 	// Draws is the number of targets compared for one choice; 0 takes
 	// DefaultDraws.
 	Draws int
+	// OwnFirst takes a cold target of the own centre before others are looked
+	// at. Without it, centres of a region are treated nearly alike.
+	OwnFirst bool
 	// RoundRobin makes the picker ignore load, for comparison.
 	RoundRobin bool
 }
--- a/internal/state/pick/picker.go
+++ b/internal/state/pick/picker.go
@@ -24,6 +24,8 @@
 	// nearby is the number of targets in the region that are not leaving.
 	nearby    int
 	near, far []*target
+	// own holds those of near that are in the own centre.
+	own []*target
 }
 
 // New returns a picker without targets.
@@ -93,6 +95,13 @@
 			Err:  errors.New("every target would refuse"),
 		}
 	}
+	if p.cfg.OwnFirst && len(p.own) > 0 {
+		if t := p.best(now, p.own, q.Cost); p.view(now, t, q.Cost).isCold() {
+			return Choice{
+				Target: t.Name,
+			}, nil
+		}
+	}
 	return Choice{
 		Target: p.best(now, p.near, q.Cost).Name,
 	}, nil
@@ -103,6 +112,7 @@
 func (p *Picker) split(now clock.Milli, q *Query) int {
 	p.near = p.near[:0]
 	p.far = p.far[:0]
+	p.own = p.own[:0]
 	usable := 0
 	for _, t := range p.targets {
 		if t.Leaving || slices.Contains(q.Exclude, t.Name) {
@@ -112,10 +122,13 @@
 		if !t.passes(now, q) {
 			continue
 		}
-		if t.Region == p.cfg.Region {
-			p.near = append(p.near, t)
-		} else {
+		if t.Region != p.cfg.Region {
 			p.far = append(p.far, t)
+			continue
+		}
+		p.near = append(p.near, t)
+		if t.Centre == p.cfg.Centre {
+			p.own = append(p.own, t)
 		}
 	}
 	return usable
--- a/internal/state/pick/picker_test.go
+++ b/internal/state/pick/picker_test.go
@@ -280,3 +280,51 @@
 		p.Finished(now+5, p.Started(now, c.Target, op), pick.Done)
 	}
 }
+
+func TestOwnCentreFirst(t *testing.T) {
+	tests := map[string]struct {
+		busy int
+		want string
+	}{
+		"while it has room": {
+			busy: 5,
+			want: "own",
+		},
+		"not when it is hot": {
+			busy: 9,
+			want: "away",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := pick.New(pick.Config{
+				Region:   "r",
+				Centre:   "c1",
+				OwnFirst: true,
+			})
+			p.SetTargets([]pick.Candidate{
+				{
+					Name:   "own",
+					Region: "r",
+					Centre: "c1",
+					Slots:  10,
+				},
+				{
+					Name:   "away",
+					Region: "r",
+					Centre: "c2",
+					Slots:  10,
+				},
+			})
+			for range tt.busy {
+				p.Started(0, "own", "s/op")
+			}
+			got, err := p.Choose(0, pick.Query{
+				Op: "s/op",
+			})
+			if err != nil || got.Target != tt.want {
+				t.Fatalf("got %v and %v, want %s", got, err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -51,6 +51,9 @@
 			Centre: cfg.Self.Centre,
 			Seed:   seed,
 			Link:   link,
+			// Bytes between centres are paid for, and a call that is answered
+			// in time is worth no more for being faster.
+			OwnFirst: true,
 		}),
 		ratio: allow.NewRatio(allow.RatioConfig{
 			Share: int(cfg.Ratio * budgetShare * 1000),
