Leave out targets that are not reached, and rest connections less

Cause: a target whose daemon runs while the target is down was chosen again and again, each time for a refusal; and a kept connection to a target may have been dropped without a sign after a third of a second, so that what may run once was sent on it and lost.

Change: an unreached target is left out for a second unless all are; requests that run once go on connections that rested 250 ms at most, since other requests keep those warm.

--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -171,9 +171,8 @@
 	if word.Outcome == leg.Done && len(c.tried) == 1 {
 		s.ratio.Success()
 	}
-	if word.Reason == xchg.Unsent.String() {
+	if word.Reason == xchg.Unsent.String() || word.Reason == reasonUnreached {
 		s.mark(now, t.ID)
-		return
 	}
 	if word.Heard {
 		s.learn(now, t.ID, c.route.Name, word)
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -36,7 +36,7 @@
 	// targetRested is the longest rest of a connection on which a request that
 	// runs at most once is sent: the target may have dropped an older one
 	// without a sign.
-	targetRested = 2 * clock.Second
+	targetRested = 250 * clock.Millisecond
 	// usualSlots is taken for a target without a record.
 	usualSlots = 32
 	// leavingGrace is how long after a target's record said that it leaves
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -92,6 +92,7 @@
 	s.from = v
 	s.marked = false
 	targets := v.Fleet.Of(name)
+	isMarked := s.usableMarks(targets)
 	candidates := make([]pick.Candidate, 0, len(targets))
 	s.targets = make(map[string]model.Target, len(targets))
 	for _, t := range targets {
@@ -102,13 +103,12 @@
 				s.seen[t.ID] = 0
 			}
 		}
-		_, marked := s.marks[t.ID]
 		candidates = append(candidates, pick.Candidate{
 			Name:    t.ID,
 			Region:  centres[t.Centre],
 			Centre:  t.Centre,
 			Slots:   t.Slots,
-			Leaving: t.Leaving || marked,
+			Leaving: t.Leaving || isMarked[t.ID],
 			Started: s.seen[t.ID],
 		})
 	}
@@ -120,6 +120,24 @@
 	s.picker.SetTargets(candidates)
 }
 
+// usableMarks returns the targets to leave out: none if all are marked, because
+// a mark is a guess and somebody must be asked. s.mu is held.
+func (s *service) usableMarks(targets []model.Target) map[string]bool {
+	marked := make(map[string]bool, len(s.marks))
+	free := 0
+	for _, t := range targets {
+		if _, ok := s.marks[t.ID]; ok {
+			marked[t.ID] = true
+		} else if !t.Leaving {
+			free++
+		}
+	}
+	if free == 0 {
+		return nil
+	}
+	return marked
+}
+
 // learn takes in what the daemon beside a target said. s.mu is held.
 func (s *service) learn(now clock.Milli, target, op string, w leg.Word) {
 	s.picker.Hint(now, target, pick.Hint{
