Write numbered events that never hold up traffic

Cause: lines on the platform had no numbers, whole requests left no line, and a reader that stops reading would have held up the daemon.

Change: one catalogue of events for all daemons (internal/proto/event); one line for each request and each attempt, joined by the id, of which whole ones are kept for one root in 64 on all hosts alike, as each line says; lines beyond 48 kB a second or a full queue are counted and summed up. Tests: a stuck reader, the rate.

Ruled out: the logger's own sampling, which would keep random halves of a story.

--- a/cmd/siskind/side.go
+++ b/cmd/siskind/side.go
@@ -6,12 +6,12 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/side"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/platform"
@@ -21,13 +21,6 @@
 // platform.
 const sideCommand = "side"
 
-const (
-	// logBuffer is the size of the buffer of log lines, in bytes.
-	logBuffer = 64 << 10
-	// logFlush is the longest time that a line stays in it.
-	logFlush = 500 * time.Millisecond
-)
-
 // startSide runs the daemon on the users' platform and returns its exit code.
 func startSide(stderr io.Writer) int {
 	set, err := readSideSettings()
@@ -64,6 +57,7 @@
 	for _, provider := range []any{
 		func() side.Settings { return set },
 		clock.System,
+		newSideLines,
 		newSideLogger,
 		side.New,
 	} {
@@ -74,22 +68,19 @@
 	return c.Invoke(serveSide)
 }
 
-// newSideLogger returns a logger whose lines are written in larger pieces.
-func newSideLogger(set side.Settings) *zap.Logger {
+// newSideLines returns the writer of log lines.
+func newSideLines(c clock.Clock) *side.Lines { return side.NewLines(os.Stdout, c) }
+
+func newSideLogger(set side.Settings, lines *side.Lines) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
-	out := &zapcore.BufferedWriteSyncer{
-		WS:            zapcore.Lock(os.Stdout),
-		Size:          logBuffer,
-		FlushInterval: logFlush,
-	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), lines, zapcore.InfoLevel)
 	return zap.New(core).With(zap.String("host", set.Name))
 }
 
 // serveSide starts the daemon and waits for a signal to stop.
-func serveSide(d *side.Daemon, log *zap.Logger) error {
-	defer func() { _ = log.Sync() }()
+func serveSide(d *side.Daemon, lines *side.Lines, log *zap.Logger) error {
+	defer lines.Close()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := d.Start(); err != nil {
@@ -101,7 +92,7 @@
 		}
 		set, err := readSideSettings()
 		if err != nil {
-			log.Warn("settings not read again; the present ones stay in force", zap.Error(err))
+			event.Warn(log, event.Unreloaded, zap.Error(err))
 			continue
 		}
 		d.Reload(set)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync/atomic"
 
+	"siskinswitch.example/siskin/internal/proto/event"
+
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/coord/agent"
@@ -118,7 +120,7 @@
 		Clock:   c,
 		OnHosts: k.onHosts,
 		OnError: func(err error) {
-			warn(log, eventHostsDown, zap.Error(err))
+			event.Warn(log, event.HostsDown, zap.Error(err))
 		},
 	})
 	k.agent = agent.New(agent.Config{
@@ -286,10 +288,10 @@
 		return
 	}
 	if err != nil {
-		warn(k.log, eventServiceDown, zap.Error(err))
+		event.Warn(k.log, event.ServiceDown, zap.Error(err))
 		return
 	}
-	info(k.log, eventServiceUp)
+	event.Info(k.log, event.ServiceUp)
 }
 
 func (k *control) onHosts(hosts []plat.Host) {
@@ -323,17 +325,17 @@
 func (k *control) report(e agent.Event) {
 	switch e.Kind {
 	case agent.Changed:
-		info(k.log, eventMember, zap.String("host", e.Host), zap.Stringer("state", e.State))
+		event.Info(k.log, event.Member, zap.String("host", e.Host), zap.Stringer("state", e.State))
 	case agent.Departing:
-		info(k.log, eventDeparting, zap.String("host", e.Host))
+		event.Info(k.log, event.Departing, zap.String("host", e.Host))
 	case agent.Adopted:
-		info(k.log, eventAdopted, valueFields(e)...)
+		event.Info(k.log, event.Adopted, valueFields(e)...)
 	case agent.Refused:
-		warn(k.log, eventRefused, valueFields(e)...)
+		event.Warn(k.log, event.Refused, valueFields(e)...)
 	case agent.Woken:
-		warn(k.log, eventWoken, zap.String("detail", e.Detail))
+		event.Warn(k.log, event.Woken, zap.String("detail", e.Detail))
 	case agent.Refuted:
-		warn(k.log, eventRefuted, zap.String("detail", e.Detail))
+		event.Warn(k.log, event.Refuted, zap.String("detail", e.Detail))
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"siskinswitch.example/siskin/internal/proto/event"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
@@ -242,7 +244,7 @@
 			},
 		},
 		OnRefused: func(peer net.Addr, err error) {
-			warn(d.log, eventPeerRefused, zap.Stringer("peer", peer), zap.Error(err))
+			event.Warn(d.log, event.PeerRefused, zap.Stringer("peer", peer), zap.Error(err))
 		},
 	})
 	if err != nil {
@@ -262,7 +264,7 @@
 	d.goRun(func() { d.control.run(d.ctx) })
 	d.goRun(d.tick)
 	d.goRun(d.showGauges)
-	info(d.log, eventStarted, zap.String("name", d.set.Name), zap.Uint64("incarnation", d.incarnation))
+	event.Info(d.log, event.Started, zap.String("name", d.set.Name), zap.Uint64("incarnation", d.incarnation))
 	return nil
 }
 
@@ -338,9 +340,9 @@
 		zap.Stringer("threshold", st.Threshold),
 	}
 	if now {
-		warn(d.log, eventOverload, fields...)
+		event.Warn(d.log, event.Overload, fields...)
 	} else {
-		info(d.log, eventRecovered, fields...)
+		event.Info(d.log, event.Recovered, fields...)
 	}
 	return now
 }
@@ -348,7 +350,7 @@
 func (d *Daemon) noteFull(before uint64) uint64 {
 	st := d.guard.Stats()
 	if st.Closings > before {
-		warn(d.log, eventGuardFull, zap.Int("entries", st.Entries), zap.Int("bytes", st.Bytes))
+		event.Warn(d.log, event.GuardFull, zap.Int("entries", st.Entries), zap.Int("bytes", st.Bytes))
 	}
 	return st.Closings
 }
--- a/internal/daemon/docs_test.go
+++ b/internal/daemon/docs_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"siskinswitch.example/siskin/internal/proto/event"
+
 	"siskinswitch.example/siskin/internal/proto/desk"
 	"siskinswitch.example/siskin/internal/proto/refuse"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -35,15 +37,15 @@
 
 func TestEventsPage(t *testing.T) {
 	documented := firstCells(t, "EVENTS.md", `\d+`)
-	source, err := os.ReadFile("events.go")
+	source, err := os.ReadFile("../proto/event/event.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(string(source), "= Event{"); n != len(Events()) {
-		t.Errorf("%d events are declared, Events lists %d", n, len(Events()))
+	if n := strings.Count(string(source), "= Event{"); n != len(event.All()) {
+		t.Errorf("%d events are declared, All lists %d", n, len(event.All()))
 	}
 	last := 0
-	for _, e := range Events() {
+	for _, e := range event.All() {
 		if e.Number <= last {
 			t.Errorf("event %d is listed behind %d", e.Number, last)
 		}
@@ -124,7 +126,7 @@
 		}
 	}
 	numbers := make(map[string]bool)
-	for _, e := range Events() {
+	for _, e := range event.All() {
 		numbers[strconv.Itoa(e.Number)] = true
 	}
 	for _, m := range regexp.MustCompile(`event (\d{3})`).FindAllStringSubmatch(string(runbook), -1) {
--- a/internal/daemon/publish.go
+++ b/internal/daemon/publish.go
@@ -3,6 +3,8 @@
 import (
 	"go.uber.org/zap"
 
+	"siskinswitch.example/siskin/internal/proto/event"
+
 	"siskinswitch.example/siskin/internal/coord/agent"
 	"siskinswitch.example/siskin/internal/coord/member"
 	"siskinswitch.example/siskin/internal/state/view"
@@ -35,7 +37,7 @@
 	k.view.Store(v)
 	if s.Ready && !k.ready {
 		k.ready = true
-		info(k.log, eventReady, zap.Uint64("version", s.Value.Version))
+		event.Info(k.log, event.Ready, zap.Uint64("version", s.Value.Version))
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"strconv"
 
+	"siskinswitch.example/siskin/internal/proto/event"
+
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -53,7 +55,7 @@
 	if err := r.d.shelf.Import(r.d.clock.Now(), h.Part); err != nil {
 		return err
 	}
-	info(r.d.log, eventHandoverTook, zap.String("from", h.From), zap.Int("part", h.Part.Part), zap.Int("parts", h.Part.Parts))
+	event.Info(r.d.log, event.HandoverTook, zap.String("from", h.From), zap.Int("part", h.Part.Part), zap.Int("parts", h.Part.Parts))
 	return nil
 }
 
@@ -61,7 +63,7 @@
 // lets work in progress end, hands its outcomes to peers and closes. It
 // returns when all of that is done or the grace has passed.
 func (d *Daemon) Stop() {
-	info(d.log, eventStopping)
+	event.Info(d.log, event.Stopping)
 	d.leaving.Store(true)
 	d.inbound.Drain()
 	select {
@@ -71,11 +73,11 @@
 	end := d.clock.Now() + d.set.Grace
 	d.waitFor(min(d.clock.Now()+lingering, end), func() bool { return false })
 	if !d.waitFor(end, d.isIdle) {
-		warn(d.log, eventStopCut, zap.Int64("outbound", d.outbound.Busy()), zap.Int("inbound", d.chains.Len()))
+		event.Warn(d.log, event.StopCut, zap.Int64("outbound", d.outbound.Busy()), zap.Int("inbound", d.chains.Len()))
 	}
 	d.handOver()
 	d.close()
-	info(d.log, eventStopped)
+	event.Info(d.log, event.Stopped)
 }
 
 // waitFor waits until the condition holds or the instant end, and reports
@@ -103,7 +105,7 @@
 	now := d.clock.Now()
 	own, err := d.guard.Export(now, partBytes)
 	if err != nil {
-		warn(d.log, eventHandoverLost, zap.Error(err))
+		event.Warn(d.log, event.HandoverLost, zap.Error(err))
 		return
 	}
 	d.giveToHeirs(set, d.set.Name, own)
@@ -133,7 +135,7 @@
 		}
 	}
 	if given == 0 {
-		warn(d.log, eventHandoverLost, zap.String("target", target), zap.Int("parts", len(parts)))
+		event.Warn(d.log, event.HandoverLost, zap.String("target", target), zap.Int("parts", len(parts)))
 	}
 }
 
@@ -144,11 +146,11 @@
 			Part: part,
 		}, &Empty{}, handoverWait)
 		if err != nil {
-			warn(d.log, eventHandoverLost, zap.String("peer", heir.Name), zap.String("part", strconv.Itoa(part.Part)), zap.Error(err))
+			event.Warn(d.log, event.HandoverLost, zap.String("peer", heir.Name), zap.String("part", strconv.Itoa(part.Part)), zap.Error(err))
 			return false
 		}
 	}
-	info(d.log, eventHandover, zap.String("peer", heir.Name), zap.Int("parts", len(parts)))
+	event.Info(d.log, event.Handover, zap.String("peer", heir.Name), zap.Int("parts", len(parts)))
 	return true
 }
 
--- /dev/null
+++ b/internal/proto/event/event.go
@@ -0,0 +1,99 @@
+// Package event is the catalogue of log events. Each line that a daemon writes
+// has the number of its event, which never changes its meaning; the page for
+// operators is docs/EVENTS.md, and a test holds it against this list.
+package event
+
+import "go.uber.org/zap"
+
+// Event is a kind of log line.
+type Event struct {
+	Number int
+	// Text is the message of the line.
+	Text string
+}
+
+// The events of a daemon, by number.
+var (
+	Started      = Event{Number: 100, Text: "daemon started"}
+	Ready        = Event{Number: 101, Text: "daemon serves traffic"}
+	Stopping     = Event{Number: 102, Text: "daemon stops taking new work"}
+	Stopped      = Event{Number: 103, Text: "daemon stopped"}
+	StopCut      = Event{Number: 104, Text: "work was still in progress when the grace ended"}
+	Handover     = Event{Number: 105, Text: "outcomes handed to a peer"}
+	HandoverLost = Event{Number: 106, Text: "outcomes could not be handed to any peer"}
+	HandoverTook = Event{Number: 107, Text: "outcomes taken over from a stopped daemon"}
+	Reloaded     = Event{Number: 110, Text: "settings read again"}
+	Unreloaded   = Event{Number: 111, Text: "changed settings could not be read"}
+	Adopted      = Event{Number: 200, Text: "configuration in force"}
+	Refused      = Event{Number: 201, Text: "configuration refused"}
+	ServiceDown  = Event{Number: 202, Text: "configuration service could not be read"}
+	HostsDown    = Event{Number: 203, Text: "list of hosts could not be read"}
+	ServiceUp    = Event{Number: 204, Text: "configuration service can be read again"}
+	StoreDown    = Event{Number: 205, Text: "store could not be read"}
+	StoreUp      = Event{Number: 206, Text: "store can be read again"}
+	Member       = Event{Number: 300, Text: "member changed state"}
+	Departing    = Event{Number: 301, Text: "target is leaving"}
+	Woken        = Event{Number: 302, Text: "daemon was paused"}
+	Refuted      = Event{Number: 303, Text: "daemon refuted a report of its death"}
+	PeerRefused  = Event{Number: 304, Text: "control connection refused"}
+	Listed       = Event{Number: 310, Text: "targets listed"}
+	Seen         = Event{Number: 311, Text: "target seen or changed"}
+	Gone         = Event{Number: 312, Text: "target gone"}
+	Unread       = Event{Number: 313, Text: "record of a target could not be read"}
+	Aside        = Event{Number: 314, Text: "target left out for a while"}
+	Overload     = Event{Number: 400, Text: "target is overloaded and sheds work"}
+	Recovered    = Event{Number: 401, Text: "target is no longer overloaded"}
+	GuardFull    = Event{Number: 402, Text: "table of once-only requests was full"}
+	Answered     = Event{Number: 500, Text: "request answered"}
+	Attempt      = Event{Number: 501, Text: "attempt at the target ended"}
+	Lines        = Event{Number: 502, Text: "log lines left out"}
+)
+
+// All returns the catalogue in the order of numbers.
+func All() []Event {
+	return []Event{
+		Started,
+		Ready,
+		Stopping,
+		Stopped,
+		StopCut,
+		Handover,
+		HandoverLost,
+		HandoverTook,
+		Reloaded,
+		Unreloaded,
+		Adopted,
+		Refused,
+		ServiceDown,
+		HostsDown,
+		ServiceUp,
+		StoreDown,
+		StoreUp,
+		Member,
+		Departing,
+		Woken,
+		Refuted,
+		PeerRefused,
+		Listed,
+		Seen,
+		Gone,
+		Unread,
+		Aside,
+		Overload,
+		Recovered,
+		GuardFull,
+		Answered,
+		Attempt,
+		Lines,
+	}
+}
+
+// Info logs an event.
+func Info(log *zap.Logger, e Event, fields ...zap.Field) {
+	log.Info(e.Text, append(fields, zap.Int("event", e.Number))...)
+}
+
+// Warn logs an event that an operator should look at.
+func Warn(log *zap.Logger, e Event, fields ...zap.Field) {
+	log.Warn(e.Text, append(fields, zap.Int("event", e.Number))...)
+}
--- a/internal/side/beliefs.go
+++ b/internal/side/beliefs.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/coord/watch"
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/platform"
@@ -51,7 +52,7 @@
 	}
 	c, err := platform.DecodeConfig(item.Value)
 	if err != nil {
-		b.log.Warn("configuration not read; the last one stays in force", zap.Int64("revision", item.Revision), zap.Error(err))
+		event.Warn(b.log, event.Refused, zap.Int64("revision", item.Revision), zap.Error(err))
 		return
 	}
 	present := b.view.Load().Config
@@ -59,7 +60,7 @@
 		return
 	}
 	b.update(func(v *model.View) { v.Config = c })
-	b.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int64("revision", item.Revision))
+	event.Info(b.log, event.Adopted, zap.Uint64("version", c.Version), zap.Int64("revision", item.Revision))
 }
 
 func (b *beliefs) listConfig(_ clock.Milli, items []watch.Item, _ bool) {
@@ -79,13 +80,13 @@
 	for _, item := range items {
 		t, err := platform.DecodeTarget(item.Key, item.Value)
 		if err != nil {
-			b.log.Warn("record of a target not read", zap.String("key", item.Key), zap.Error(err))
+			event.Warn(b.log, event.Unread, zap.String("key", item.Key), zap.Error(err))
 			continue
 		}
 		targets = append(targets, t)
 	}
 	b.update(func(v *model.View) { v.Fleet = v.Fleet.WithList(now, targets, wasAway) })
-	b.log.Info("targets listed", zap.Int("targets", len(targets)), zap.Bool("away", wasAway))
+	event.Info(b.log, event.Listed, zap.Int("targets", len(targets)), zap.Bool("away", wasAway))
 }
 
 func (b *beliefs) changeTargets(_ clock.Milli, items []watch.Item) {
@@ -100,16 +101,16 @@
 func (b *beliefs) withItem(f model.Fleet, item watch.Item) model.Fleet {
 	id := strings.TrimPrefix(item.Key, platform.TargetPrefix)
 	if item.Removed {
-		b.log.Info("target gone", zap.String("target", id))
+		event.Info(b.log, event.Gone, zap.String("target", id))
 		return f.Without(id)
 	}
 	t, err := platform.DecodeTarget(item.Key, item.Value)
 	if err != nil {
-		b.log.Warn("record of a target not read", zap.String("key", item.Key), zap.Error(err))
+		event.Warn(b.log, event.Unread, zap.String("key", item.Key), zap.Error(err))
 		return f.Without(id)
 	}
 	if old, ok := f.Targets[id]; !ok || old.Leaving != t.Leaving || old.Born != t.Born {
-		b.log.Info("target seen", zap.String("target", id), zap.String("service", t.Service),
+		event.Info(b.log, event.Seen, zap.String("target", id), zap.String("service", t.Service),
 			zap.String("address", t.Addr), zap.Bool("leaving", t.Leaving))
 	}
 	return f.WithTarget(t)
--- /dev/null
+++ b/internal/side/lines.go
@@ -0,0 +1,117 @@
+package side
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinswitch.example/siskin/internal/proto/event"
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+const (
+	// linesRate is the number of bytes of log lines that a daemon writes in a
+	// second, linesBurst what it may save up.
+	linesRate  = 48 << 10
+	linesBurst = 256 << 10
+	// linesQueue is the number of lines that wait for a slow reader.
+	linesQueue = 1024
+	// linesSum is the least time between two lines that tell how many were
+	// left out.
+	linesSum = clock.Second
+)
+
+// Lines passes log lines on without ever holding up who writes them. Lines
+// beyond the rate, and those that a slow reader leaves no room for, are left
+// out; a line of their own tells how many.
+type Lines struct {
+	clock clock.Clock
+	out   io.Writer
+	queue chan []byte
+	left  atomic.Int64
+	done  chan struct{}
+
+	mu     sync.Mutex
+	tokens int64
+	at     clock.Milli
+	closed bool
+}
+
+// NewLines returns a writer in front of out.
+func NewLines(out io.Writer, c clock.Clock) *Lines {
+	l := &Lines{
+		clock:  c,
+		out:    out,
+		queue:  make(chan []byte, linesQueue),
+		done:   make(chan struct{}),
+		tokens: linesBurst,
+		at:     c.Now(),
+	}
+	go l.run()
+	return l
+}
+
+// Write takes one line. It never fails.
+func (l *Lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.take(len(line)) || l.closed {
+		l.left.Add(1)
+		return len(line), nil
+	}
+	select {
+	case l.queue <- append([]byte(nil), line...):
+	default:
+		l.left.Add(1)
+	}
+	return len(line), nil
+}
+
+// take charges n bytes to the rate. l.mu is held.
+func (l *Lines) take(n int) bool {
+	now := l.clock.Now()
+	l.tokens = min(linesBurst, l.tokens+int64(now-l.at)*linesRate/int64(clock.Second))
+	l.at = now
+	if l.tokens < int64(n) {
+		return false
+	}
+	l.tokens -= int64(n)
+	return true
+}
+
+// Sync does nothing; Close writes what waits.
+func (l *Lines) Sync() error { return nil }
+
+// Close writes the lines that wait, for a while.
+func (l *Lines) Close() {
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.queue)
+	}
+	l.mu.Unlock()
+	select {
+	case <-l.done:
+	case <-time.After((100 * clock.Millisecond).Duration()):
+	}
+}
+
+// run writes the lines. A write that fails loses its line, since there is
+// nowhere to tell of it.
+func (l *Lines) run() {
+	defer close(l.done)
+	told := l.clock.Now()
+	for line := range l.queue {
+		_, _ = l.out.Write(line)
+		now := l.clock.Now()
+		if now-told < linesSum {
+			continue
+		}
+		if n := l.left.Swap(0); n > 0 {
+			told = now
+			_, _ = fmt.Fprintf(l.out, `{"level":"warn","msg":%q,"event":%d,"lines":%d}`+"\n", event.Lines.Text, event.Lines.Number, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/side/lines_test.go
@@ -0,0 +1,81 @@
+package side
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// stuck is a reader that does not read.
+type stuck struct{ free chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.free
+	return len(p), nil
+}
+
+func TestLinesNeverBlock(t *testing.T) {
+	s := stuck{
+		free: make(chan struct{}),
+	}
+	l := NewLines(s, clock.System())
+	done := make(chan struct{})
+	go func() {
+		for range 5 * linesQueue {
+			_, _ = l.Write([]byte("line\n"))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(2 * time.Second):
+		t.Fatal("a writer was held up by a reader that does not read")
+	}
+	if l.left.Load() == 0 {
+		t.Error("no line counts as left out")
+	}
+	close(s.free)
+	l.Close()
+}
+
+// buffer is a bytes.Buffer for several goroutines.
+type buffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func TestLinesBeyondTheRateAreCounted(t *testing.T) {
+	fake := clock.NewFake(0)
+	out := &buffer{}
+	l := NewLines(out, fake.Clock())
+	line := bytes.Repeat([]byte("x"), 1024)
+	for range 2 * linesBurst / len(line) {
+		_, _ = l.Write(line)
+	}
+	fake.Advance(2 * clock.Second)
+	_, _ = l.Write([]byte("last\n"))
+	l.Close()
+	text := out.String()
+	if len(text) > linesBurst+linesRate {
+		t.Errorf("%d bytes written at once, the bound is %d", len(text), linesBurst)
+	}
+	if !strings.Contains(text, `"event":502,"lines":256`) {
+		t.Errorf("the lines left out are not told: %q", text[max(0, len(text)-200):])
+	}
+}
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/coord/watch"
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/trans/flow"
@@ -51,13 +52,15 @@
 
 // Daemon is the whole process.
 type Daemon struct {
-	set      Settings
-	clock    clock.Clock
-	log      *zap.Logger
-	meter    *meter
-	beliefs  *beliefs
-	inbound  *flow.Inbound
-	outbound *flow.Outbound
+	set     Settings
+	clock   clock.Clock
+	log     *zap.Logger
+	meter   *meter
+	beliefs *beliefs
+	// incarnation identifies this run of the daemon.
+	incarnation uint64
+	inbound     *flow.Inbound
+	outbound    *flow.Outbound
 
 	callers  *xchg.Server
 	peers    *xchg.Server
@@ -80,6 +83,7 @@
 		log:   log,
 		meter: newMeter(),
 	}
+	d.incarnation = max(binary.LittleEndian.Uint64(random[8:]), 1)
 	d.beliefs = newBeliefs(log, d.follow)
 	cfg := flow.Config{
 		Clock:   c,
@@ -97,7 +101,7 @@
 		Log:         log,
 		Counts:      d.meter.counts(),
 		Seed:        binary.LittleEndian.Uint64(random[:8]),
-		Incarnation: max(binary.LittleEndian.Uint64(random[8:]), 1),
+		Incarnation: d.incarnation,
 		Ratio:       set.Ratio,
 		Slack:       set.Slack,
 	}
@@ -198,7 +202,8 @@
 	d.startFollower(ctx, platform.ConfigKey, d.beliefs.listConfig, d.beliefs.changeConfig)
 	d.startFollower(ctx, platform.TargetPrefix, d.beliefs.listTargets, d.beliefs.changeTargets)
 	go d.tick(ctx)
-	d.log.Info("started", zap.String("host", d.set.Name), zap.String("service", d.set.Service), zap.String("centre", d.set.Centre))
+	event.Info(d.log, event.Started, zap.String("name", d.set.Name), zap.Uint64("incarnation", d.incarnation),
+		zap.String("service", d.set.Service), zap.String("centre", d.set.Centre))
 	return nil
 }
 
@@ -210,8 +215,8 @@
 		Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed:  listed,
 		Changed: changed,
-		Lost:    func(err error) { d.log.Warn("store lost", zap.String("prefix", prefix), zap.Error(err)) },
-		Found:   func() { d.log.Info("store regained", zap.String("prefix", prefix)) },
+		Lost:    func(err error) { event.Warn(d.log, event.StoreDown, zap.String("prefix", prefix), zap.Error(err)) },
+		Found:   func() { event.Info(d.log, event.StoreUp, zap.String("prefix", prefix)) },
 	})
 	go f.Run(ctx)
 }
@@ -274,7 +279,7 @@
 	d.inbound.Drain()
 	d.callers.Stop()
 	d.outbound.Close(began + grace - stopMargin - stopAnswer)
-	d.log.Info("stopping")
+	event.Info(d.log, event.Stopping)
 	for {
 		passed := d.clock.Now() - began
 		idle := d.callers.Busy() == 0 && d.peers.Busy() == 0
@@ -288,7 +293,10 @@
 	}
 	d.callers.CloseIdle()
 	d.cancel()
-	d.log.Info("stopped", zap.Int64("callers", d.callers.Busy()), zap.Int64("peers", d.peers.Busy()))
+	if d.callers.Busy()+d.peers.Busy() > 0 {
+		event.Warn(d.log, event.StopCut, zap.Int64("outbound", d.callers.Busy()), zap.Int64("inbound", d.peers.Busy()))
+	}
+	event.Info(d.log, event.Stopped)
 }
 
 // Reload takes in changed settings. What is fixed at the start, such as the
@@ -296,7 +304,7 @@
 func (d *Daemon) Reload(set Settings) {
 	changed := set.Address != d.set.Address || set.Outbound != d.set.Outbound || set.Inbound != d.set.Inbound ||
 		set.Ready != d.set.Ready || set.Target != d.set.Target || set.Store != d.set.Store
-	d.log.Info("settings read again", zap.Bool("restart", changed))
+	event.Info(d.log, event.Reloaded, zap.Bool("restart", changed))
 }
 
 // Kill ends the daemon at once, as when its process is killed.
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -6,7 +6,9 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/leg"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
@@ -172,11 +174,21 @@
 		s.ratio.Success()
 	}
 	if word.Reason == xchg.Unsent.String() || word.Reason == reasonUnreached {
-		s.mark(now, t.ID)
+		o.leaveOut(s, now, t.ID, word.Reason)
 	}
 	if word.Heard {
 		s.learn(now, t.ID, c.route.Name, word)
 	}
+	if word.Leaving {
+		o.leaveOut(s, now, t.ID, "leaving")
+	}
+}
+
+// leaveOut gives a target no new work for a while. s.mu is held.
+func (o *Outbound) leaveOut(s *service, now clock.Milli, target, reason string) {
+	if s.mark(now, target) {
+		event.Info(o.cfg.Log, event.Aside, zap.String("target", target), zap.String("reason", reason))
+	}
 }
 
 // attempt sends the request to one target. The word says what became of it.
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -86,6 +86,21 @@
 	dialTime = 500 * clock.Millisecond
 )
 
+// sampleShare is the number of roots of which one is kept in the log when its
+// requests are whole. A root is kept or left out with all its calls, on all
+// hosts.
+const sampleShare = 64
+
+func isSampled(root uint64) bool { return root%sampleShare == 0 }
+
+// sampleOf returns how many requests a line stands for.
+func sampleOf(isWhole bool) int {
+	if isWhole {
+		return sampleShare
+	}
+	return 1
+}
+
 // importanceOf maps the rank of a route, 0 being the highest, to an importance.
 func importanceOf(rank int) rules.Importance {
 	if rank >= int(rules.Vital) {
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/leg"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
@@ -109,7 +110,7 @@
 	hop, err := leg.ParseHop(r.Get(leg.HeaderHop))
 	id := r.Get(n.cfg.Headers.ID)
 	if err != nil {
-		n.cfg.Log.Warn("request without a readable hop", zap.String("id", id), zap.Error(err))
+		event.Warn(n.cfg.Log, event.Attempt, zap.String("id", id), zap.Error(err))
 		return n.reply(n.cfg.plain(id, fasthttp.StatusBadRequest, "not from a daemon"), leg.Word{
 			Outcome: leg.NotRun,
 			Reason:  "hop",
@@ -131,12 +132,41 @@
 // what is known of the attempt. The answer is the target's own only if the
 // outcome is [leg.Done].
 func (n *Inbound) Run(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
+	began := n.cfg.Clock.Now()
 	a, word := n.take(ctx, r, hop)
 	word.Heard = true
+	n.log(r, hop, &a, word, n.cfg.Clock.Now()-began)
 	word.Threshold = word.Threshold.Max(n.Floor(hop.Path))
 	return a, word
 }
 
+// log writes one line about an attempt. Of whole ones, only those of a sample
+// of roots are kept.
+func (n *Inbound) log(r *xchg.Request, hop leg.Hop, a *guard.Answer, word leg.Word, took clock.Milli) {
+	if hop.Ask && hop.Key == "" {
+		return
+	}
+	isWhole := word.Outcome == leg.Done && a.Status < fasthttp.StatusInternalServerError
+	if isWhole && !isSampled(hop.Root) {
+		return
+	}
+	event.Info(n.cfg.Log, event.Attempt,
+		zap.String("id", r.Get(n.cfg.Headers.ID)),
+		zap.String("path", hop.Path),
+		zap.String("target", hop.Target),
+		zap.Stringer("importance", hop.Importance),
+		zap.Int("depth", hop.Depth),
+		zap.Bool("ask", hop.Ask),
+		zap.Stringer("outcome", word.Outcome),
+		zap.String("reason", word.Reason),
+		zap.Int("status", a.Status),
+		zap.Int("running", word.Running),
+		zap.Int("limit", word.Limit),
+		zap.Stringer("threshold", word.Threshold),
+		zap.Int("sample", sampleOf(isWhole)),
+		zap.Int64("took", int64(took)))
+}
+
 func (n *Inbound) take(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
 	if hop.Ask {
 		return n.ask(r, hop)
@@ -396,13 +426,11 @@
 	switch {
 	case errors.As(err, &e) && e.Kind == xchg.Unsent:
 		n.unrun(now, hop)
-		n.cfg.Log.Info("target not reached", zap.String("id", id), zap.Error(err))
 		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, reasonUnreached)
 	case err != nil:
 		if hop.Key != "" {
 			n.table.Fail(now, hop.Key)
 		}
-		n.cfg.Log.Info("exchange with the target broke off", zap.String("id", id), zap.Error(err))
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was lost"), n.word(leg.Unknown, e.Kind.String())
 	case a.Status == fasthttp.StatusMisdirectedRequest || xchg.Get(a.Fields, h.NotRun) != "":
 		n.unrun(now, hop)
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
@@ -141,23 +142,35 @@
 	if c.parent != nil && a.Status >= fasthttp.StatusInternalServerError {
 		c.parent.failed.Store(true)
 	}
-	if end != endDone {
-		o.cfg.Log.Info("request failed",
-			zap.String("id", id),
-			zap.String("route", route.Name),
-			zap.String("service", c.service),
-			zap.Strings("tried", c.tried),
-			zap.String("end", end),
-			zap.String("reason", c.reason),
-			zap.Int("status", a.Status),
-			zap.Uint64("version", v.Config.Version),
-			zap.Int64("took", int64(took)))
-	}
+	o.log(c, &a, end, took)
 	return xchg.Reply{
 		Answer: a,
 	}
 }
 
+// log writes one line about a request. Of whole ones, only those of a sample of
+// roots are kept.
+func (o *Outbound) log(c *call, a *guard.Answer, end string, took clock.Milli) {
+	isWhole := end == endDone && a.Status < fasthttp.StatusInternalServerError
+	if isWhole && !isSampled(c.root) {
+		return
+	}
+	event.Info(o.cfg.Log, event.Answered,
+		zap.String("id", c.id),
+		zap.String("route", c.route.Name),
+		zap.Uint64("version", c.view.Config.Version),
+		zap.String("service", c.service),
+		zap.Stringer("importance", c.importance),
+		zap.Int("depth", c.depth),
+		zap.Strings("tried", c.tried),
+		zap.String("end", end),
+		zap.String("reason", c.reason),
+		zap.Int("status", a.Status),
+		zap.Int64("left", int64(c.deadline-o.cfg.Clock.Now())),
+		zap.Int("sample", sampleOf(isWhole)),
+		zap.Int64("took", int64(took)))
+}
+
 // call is one request with what is left of its means.
 type call struct {
 	r       *xchg.Request
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -147,13 +147,13 @@
 		},
 	})
 	s.picker.Threshold(now, target, op, w.Threshold)
-	if w.Leaving {
-		s.mark(now, target)
-	}
 }
 
-// mark leaves a target out for a while. s.mu is held.
-func (s *service) mark(now clock.Milli, target string) {
+// mark leaves a target out for a while and reports whether it was not left out
+// before. s.mu is held.
+func (s *service) mark(now clock.Milli, target string) bool {
+	_, ok := s.marks[target]
 	s.marks[target] = now + markTime
 	s.marked = true
+	return !ok
 }
