Spend repeats on the most important requests, and watch the store once

Change: one watch over all keys, 15 s long, changes of half a second are one read. The budget has a common part and one for the highest importance, is earned by all first attempts, and is charged for calls of runs that are repeats.

TestLinesBeyondTheRateAreCounted failed once: the writer's goroutine read the start of its first second late.

--- a/internal/coord/watch/follow.go
+++ b/internal/coord/watch/follow.go
@@ -75,10 +75,10 @@
 // Parameters of the reads.
 const (
 	// watchWait is how long one watch waits at the store.
-	watchWait = 10 * clock.Second
+	watchWait = 15 * clock.Second
 	// gather is the pause between a change and the next watch, in which other
 	// changes add up to one read.
-	gather = 150 * clock.Millisecond
+	gather = 500 * clock.Millisecond
 	// pauseFirst and pauseLast bound the pause after a failed read.
 	pauseFirst = 100 * clock.Millisecond
 	pauseLast  = 800 * clock.Millisecond
--- a/internal/side/beliefs.go
+++ b/internal/side/beliefs.go
@@ -14,7 +14,7 @@
 	"siskinswitch.example/siskin/platform"
 )
 
-// beliefs hold what the store's records say. Both followers write to them;
+// beliefs hold what the store's records say. The follower writes to them;
 // traffic reads an immutable view.
 type beliefs struct {
 	log *zap.Logger
@@ -44,40 +44,13 @@
 	b.changed(&next)
 }
 
-// setConfig takes a configuration in force if it is newer than the present
-// one. One that cannot be read changes nothing.
-func (b *beliefs) setConfig(item watch.Item) {
-	if item.Key != platform.ConfigKey || item.Removed {
-		return
-	}
-	c, err := platform.DecodeConfig(item.Value)
-	if err != nil {
-		event.Warn(b.log, event.Refused, zap.Int64("revision", item.Revision), zap.Error(err))
-		return
-	}
-	present := b.view.Load().Config
-	if present != nil && c.Version <= present.Version {
-		return
-	}
-	b.update(func(v *model.View) { v.Config = c })
-	event.Info(b.log, event.Adopted, zap.Uint64("version", c.Version), zap.Int64("revision", item.Revision))
-}
-
-func (b *beliefs) listConfig(_ clock.Milli, items []watch.Item, _ bool) {
-	for _, item := range items {
-		b.setConfig(item)
-	}
-}
-
-func (b *beliefs) changeConfig(_ clock.Milli, items []watch.Item) {
-	for _, item := range items {
-		b.setConfig(item)
-	}
-}
-
-func (b *beliefs) listTargets(now clock.Milli, items []watch.Item, wasAway bool) {
+// list takes in all that the store holds.
+func (b *beliefs) list(now clock.Milli, items []watch.Item, wasAway bool) {
 	targets := make([]model.Target, 0, len(items))
 	for _, item := range items {
+		if !strings.HasPrefix(item.Key, platform.TargetPrefix) {
+			continue
+		}
 		t, err := platform.DecodeTarget(item.Key, item.Value)
 		if err != nil {
 			event.Warn(b.log, event.Unread, zap.String("key", item.Key), zap.Error(err))
@@ -85,18 +58,46 @@
 		}
 		targets = append(targets, t)
 	}
-	b.update(func(v *model.View) { v.Fleet = v.Fleet.WithList(now, targets, wasAway) })
+	b.update(func(v *model.View) {
+		v.Config = b.newest(v.Config, items)
+		v.Fleet = v.Fleet.WithList(now, targets, wasAway)
+	})
 	event.Info(b.log, event.Listed, zap.Int("targets", len(targets)), zap.Bool("away", wasAway))
 }
 
-func (b *beliefs) changeTargets(_ clock.Milli, items []watch.Item) {
+// change takes in what has changed.
+func (b *beliefs) change(_ clock.Milli, items []watch.Item) {
 	b.update(func(v *model.View) {
+		v.Config = b.newest(v.Config, items)
 		for _, item := range items {
-			v.Fleet = b.withItem(v.Fleet, item)
+			if strings.HasPrefix(item.Key, platform.TargetPrefix) {
+				v.Fleet = b.withItem(v.Fleet, item)
+			}
 		}
 	})
 }
 
+// newest returns the newest configuration among items, or the present one. One
+// that cannot be read changes nothing.
+func (b *beliefs) newest(present *model.Config, items []watch.Item) *model.Config {
+	for _, item := range items {
+		if item.Key != platform.ConfigKey || item.Removed {
+			continue
+		}
+		c, err := platform.DecodeConfig(item.Value)
+		if err != nil {
+			event.Warn(b.log, event.Refused, zap.Int64("revision", item.Revision), zap.Error(err))
+			continue
+		}
+		if present != nil && c.Version <= present.Version {
+			continue
+		}
+		present = c
+		event.Info(b.log, event.Adopted, zap.Uint64("version", c.Version), zap.Int64("revision", item.Revision))
+	}
+	return present
+}
+
 // withItem applies one change. A record that cannot be read names no target.
 func (b *beliefs) withItem(f model.Fleet, item watch.Item) model.Fleet {
 	id := strings.TrimPrefix(item.Key, platform.TargetPrefix)
--- a/internal/side/lines.go
+++ b/internal/side/lines.go
@@ -49,7 +49,7 @@
 		tokens: linesBurst,
 		at:     c.Now(),
 	}
-	go l.run()
+	go l.run(l.at)
 	return l
 }
 
@@ -98,20 +98,23 @@
 	}
 }
 
-// run writes the lines. A write that fails loses its line, since there is
-// nowhere to tell of it.
-func (l *Lines) run() {
+// run writes the lines, and from time to time how many were left out. A write
+// that fails loses its line, since there is nowhere to tell of it.
+func (l *Lines) run(told clock.Milli) {
 	defer close(l.done)
-	told := l.clock.Now()
 	for line := range l.queue {
 		_, _ = l.out.Write(line)
-		now := l.clock.Now()
-		if now-told < linesSum {
-			continue
-		}
-		if n := l.left.Swap(0); n > 0 {
+		if now := l.clock.Now(); now-told >= linesSum {
 			told = now
-			_, _ = fmt.Fprintf(l.out, `{"level":"warn","msg":%q,"event":%d,"lines":%d}`+"\n", event.Lines.Text, event.Lines.Number, n)
+			l.tell()
 		}
 	}
+	l.tell()
+}
+
+// tell writes how many lines were left out since it was told last.
+func (l *Lines) tell() {
+	if n := l.left.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(l.out, `{"level":"warn","msg":%q,"event":%d,"lines":%d}`+"\n", event.Lines.Text, event.Lines.Number, n)
+	}
 }
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -199,26 +199,25 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.startFollower(ctx, platform.ConfigKey, d.beliefs.listConfig, d.beliefs.changeConfig)
-	d.startFollower(ctx, platform.TargetPrefix, d.beliefs.listTargets, d.beliefs.changeTargets)
+	go d.follower().Run(ctx)
 	go d.tick(ctx)
 	event.Info(d.log, event.Started, zap.String("name", d.set.Name), zap.Uint64("incarnation", d.incarnation),
 		zap.String("service", d.set.Service), zap.String("centre", d.set.Centre))
 	return nil
 }
 
-func (d *Daemon) startFollower(ctx context.Context, prefix string, listed func(clock.Milli, []watch.Item, bool), changed func(clock.Milli, []watch.Item)) {
-	f := watch.New(watch.Config{
+// follower returns what keeps the beliefs up to date. One watch over all keys
+// is one call where a watch for each kind of key would be two.
+func (d *Daemon) follower() *watch.Follower {
+	return watch.New(watch.Config{
 		Clock:   d.clock,
 		Source:  newStore(d.set.Store, d.clock).source(),
-		Prefix:  prefix,
 		Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
-		Listed:  listed,
-		Changed: changed,
-		Lost:    func(err error) { event.Warn(d.log, event.StoreDown, zap.String("prefix", prefix), zap.Error(err)) },
-		Found:   func() { event.Info(d.log, event.StoreUp, zap.String("prefix", prefix)) },
+		Listed:  d.beliefs.list,
+		Changed: d.beliefs.change,
+		Lost:    func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
+		Found:   func() { event.Info(d.log, event.StoreUp) },
 	})
-	go f.Run(ctx)
 }
 
 func (d *Daemon) tick(ctx context.Context) {
--- a/internal/side/store.go
+++ b/internal/side/store.go
@@ -26,8 +26,7 @@
 	storeBody = 8 << 20
 )
 
-// store makes the reads of one follower. Each has a client of its own, so a
-// connection that has gone silent holds up one of them only.
+// store makes the reads of the follower.
 type store struct {
 	addr   string
 	client *xchg.Client
--- a/internal/state/admit/gate.go
+++ b/internal/state/admit/gate.go
@@ -72,7 +72,7 @@
 	if g.draining {
 		return Draining
 	}
-	if w.Cost == rules.Short && !g.control.threshold.Passes(w.Importance, w.Root) {
+	if w.Cost == rules.Short && w.Depth == 0 && !g.control.threshold.Passes(w.Importance, w.Root) {
 		return Below
 	}
 	if w.Deadline > 0 && float64(now)+g.delay(now, w)+expect > float64(w.Deadline) {
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -45,6 +45,7 @@
 // returns the answer for the caller and how the request ended.
 func (o *Outbound) run(ctx context.Context, c *call) (guard.Answer, string) {
 	s := o.service(c.service)
+	o.open(s, c)
 	mayHaveRun := false
 	moves := 0
 	var kept *guard.Answer
@@ -83,6 +84,17 @@
 	return o.giveUp(ctx, c, mayHaveRun, kept)
 }
 
+// open records a request that is about to make its first attempt.
+func (o *Outbound) open(s *service, c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.isRepeat() {
+		s.budget.charge(o.cfg.Clock.Now())
+		return
+	}
+	s.budget.earn()
+}
+
 // mayMove reports whether a request that was not run may go to another target.
 // One that reached a target is charged to the budget like a repeat.
 func (o *Outbound) mayMove(s *service, c *call, word leg.Word) bool {
@@ -128,7 +140,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ratio.Take(o.cfg.Clock.Now()) {
+	if !s.budget.take(o.cfg.Clock.Now(), c.importance) {
 		return false
 	}
 	o.cfg.Counts.Repeats()
@@ -170,9 +182,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Finished(now, f, outcome)
-	if word.Outcome == leg.Done && len(c.tried) == 1 {
-		s.ratio.Success()
-	}
 	if word.Reason == xchg.Unsent.String() || word.Reason == reasonUnreached {
 		o.leaveOut(s, now, t.ID, word.Reason)
 	}
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"siskinswitch.example/siskin/internal/proto/leg"
-	"siskinswitch.example/siskin/internal/state/allow"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/pick"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -18,18 +17,13 @@
 	// bytes a second, linkBurst what it saves up.
 	linkRate  = 100 << 10
 	linkBurst = 200 << 10
-	// budgetShare is the part of the fleet's retry budget that the daemons
-	// use: calls of a request that is repeated are repeated as well.
-	budgetShare = 0.4
-	// budgetWindow is the time over which the fleet's slack counts.
-	budgetWindow = 10 * clock.Second
 )
 
 // service is what the outbound side knows of one service.
 type service struct {
 	mu      sync.Mutex
 	picker  *pick.Picker
-	ratio   *allow.Ratio
+	budget  *budget
 	from    *model.View
 	targets map[string]model.Target
 	// marks maps targets to the instant until which they are left out.
@@ -55,28 +49,13 @@
 			// in time is worth no more for being faster.
 			OwnFirst: true,
 		}),
-		ratio: allow.NewRatio(allow.RatioConfig{
-			Share: int(cfg.Ratio * budgetShare * 1000),
-			Burst: burstOf(cfg.Slack, daemons),
-			Floor: floorOf(cfg.Slack, daemons),
-		}, now),
+		budget:  newBudget(cfg.Ratio, cfg.Slack, daemons, now),
 		targets: make(map[string]model.Target),
 		marks:   make(map[string]clock.Milli),
 		seen:    make(map[string]clock.Milli),
 	}
 }
 
-// burstOf returns the attempts that one of n daemons may save up.
-func burstOf(slack, n int) int {
-	return max(1, int(float64(slack)*budgetShare)/max(n, 1))
-}
-
-// floorOf returns the time in which one of n daemons gains an attempt without
-// any request: together they gain their part of the slack in a window.
-func floorOf(slack, n int) clock.Milli {
-	return clock.Milli(float64(budgetWindow) * float64(n) / max(float64(slack)*budgetShare, 1))
-}
-
 // refresh makes the candidates follow the view and the marks. s.mu is held.
 func (s *service) refresh(now clock.Milli, v *model.View, name string, centres map[string]string) {
 	for id, until := range s.marks {
