Give a short budget of repeats to the same whole requests

Change: each part of the budget has a floor on (importance, root) that rises while the part runs short, so all daemons help the same requests. Tests: the fleet's sum over daemons that do not talk, a third of them away too; a short budget goes to the highest rank; repeats from above are charged.

--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -140,7 +140,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.take(o.cfg.Clock.Now(), c.importance) {
+	if !s.budget.take(o.cfg.Clock.Now(), c.importance, c.root) {
 		return false
 	}
 	o.cfg.Counts.Repeats()
--- a/internal/trans/flow/budget.go
+++ b/internal/trans/flow/budget.go
@@ -10,12 +10,17 @@
 	// commonShare and vitalShare are the parts of the fleet's ratio of repeats
 	// that all requests may use, and those of the highest importance beside it.
 	// The rest is a margin for what daemons do not see of each other.
-	commonShare = 0.3
-	vitalShare  = 0.4
+	commonShare = 0.35
+	vitalShare  = 0.45
 	// slackShare is the part of the fleet's slack that its daemons divide.
 	slackShare = 0.4
 	// budgetWindow is the time over which the fleet's slack counts.
 	budgetWindow = 10 * clock.Second
+	// floorEvery is the time between two changes of a lot's floor.
+	floorEvery = 100 * clock.Millisecond
+	// floorRise and floorFall are those changes, in ranks.
+	floorRise = 0.08
+	floorFall = 0.02
 )
 
 // budget bounds the attempts beyond the first of each request that this daemon
@@ -23,17 +28,47 @@
 // requests and has its part of the slack. A call of a run that is itself a
 // repeat is charged like a repeat, so that repeats above leave less below.
 type budget struct {
-	common *allow.Ratio
-	vital  *allow.Ratio
+	common lot
+	vital  lot
+}
+
+// rank orders requests: by importance, then by the hash of their root, from 0
+// to one above the highest importance.
+type rank float64
+
+// rankMost is above every rank.
+const rankMost = rank(rules.Vital) + 1
+
+func rankOf(importance rules.Importance, root uint64) rank {
+	return rank(importance) + rank(root>>11)/(1<<53)
+}
+
+// lot is one part of the budget. While it does not suffice it goes to the
+// requests of the highest rank. A chain of calls that meets many refusals needs
+// many repeats to succeed at all; given out evenly they would save none. All
+// daemons rank by the same root, so they help the same whole requests.
+type lot struct {
+	ratio *allow.Ratio
+	// floor is the least rank that may take.
+	floor rank
+	// least is the lowest rank above the floor that asked since the floor
+	// changed last, at changed; short says that one was denied since then.
+	least   rank
+	short   bool
+	changed clock.Milli
 }
 
 func newBudget(ratio float64, slack, daemons int, now clock.Milli) *budget {
-	part := func(share float64) *allow.Ratio {
-		return allow.NewRatio(allow.RatioConfig{
-			Share: int(ratio * share * 1000),
-			Burst: burstOf(slack, daemons),
-			Floor: floorOf(slack, daemons),
-		}, now)
+	part := func(share float64) lot {
+		return lot{
+			ratio: allow.NewRatio(allow.RatioConfig{
+				Share: int(ratio * share * 1000),
+				Burst: burstOf(slack, daemons),
+				Floor: floorOf(slack, daemons),
+			}, now),
+			least:   rankMost,
+			changed: now,
+		}
 	}
 	return &budget{
 		common: part(commonShare),
@@ -43,19 +78,51 @@
 
 // earn records the first attempt of a request.
 func (b *budget) earn() {
-	b.common.Success()
-	b.vital.Success()
+	b.common.ratio.Success()
+	b.vital.ratio.Success()
 }
 
 // charge records an attempt that is a repeat because of one above.
-func (b *budget) charge(now clock.Milli) { b.common.Charge(now) }
+func (b *budget) charge(now clock.Milli) { b.common.ratio.Charge(now) }
 
 // take takes one attempt and reports whether there was one.
-func (b *budget) take(now clock.Milli, importance rules.Importance) bool {
-	if importance == rules.Vital && b.vital.Take(now) {
+func (b *budget) take(now clock.Milli, importance rules.Importance, root uint64) bool {
+	r := rankOf(importance, root)
+	if importance == rules.Vital && b.vital.take(now, r) {
 		return true
 	}
-	return b.common.Take(now)
+	return b.common.take(now, r)
+}
+
+// take takes one attempt for a request of rank r.
+func (l *lot) take(now clock.Milli, r rank) bool {
+	l.adjust(now)
+	if r < l.floor {
+		return false
+	}
+	l.least = min(l.least, r)
+	if !l.ratio.Take(now) {
+		l.short = true
+		return false
+	}
+	return true
+}
+
+// adjust raises the floor while the lot runs short and lowers it, more slowly,
+// while it does not.
+func (l *lot) adjust(now clock.Milli) {
+	steps := (now - l.changed) / floorEvery
+	if steps <= 0 {
+		return
+	}
+	l.changed += steps * floorEvery
+	if l.short {
+		l.floor = min(l.least+floorRise, rankMost-floorRise)
+	} else {
+		l.floor = max(l.floor-floorFall*rank(steps), 0)
+	}
+	l.short = false
+	l.least = rankMost
 }
 
 // burstOf returns the attempts that one part of one of n daemons may save up.
--- /dev/null
+++ b/internal/trans/flow/budget_test.go
@@ -0,0 +1,104 @@
+package flow
+
+import (
+	"math"
+	"testing"
+
+	"siskinswitch.example/siskin/internal/state/rules"
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// TestFleetKeepsTheBudget sends requests that all want repeats through daemons
+// that do not talk to each other, and counts what they send together.
+func TestFleetKeepsTheBudget(t *testing.T) {
+	tests := map[string]struct {
+		daemons int
+		away    int
+		slack   int
+		// every is the time between two requests at each daemon.
+		every clock.Milli
+	}{
+		"busy": {
+			daemons: 16,
+			slack:   49,
+			every:   5,
+		},
+		"almost idle": {
+			daemons: 16,
+			slack:   49,
+			every:   2000,
+		},
+		"a third of the daemons away": {
+			daemons: 16,
+			away:    5,
+			slack:   49,
+			every:   20,
+		},
+		"many daemons": {
+			daemons: 89,
+			slack:   118,
+			every:   50,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			const ratio = 0.2
+			budgets := make([]*budget, tt.daemons-tt.away)
+			for i := range budgets {
+				budgets[i] = newBudget(ratio, tt.slack, tt.daemons, 0)
+			}
+			requests, repeats := 0, 0
+			for now := clock.Milli(0); now < budgetWindow; now += tt.every {
+				for i, b := range budgets {
+					b.earn()
+					requests++
+					importance := rules.Importance(i % 4)
+					for b.take(now, importance, math.MaxUint64) {
+						repeats++
+					}
+				}
+			}
+			most := int(ratio*float64(requests)) + tt.slack
+			if repeats > most {
+				t.Errorf("%d repeats of %d requests, the fleet may send %d", repeats, requests, most)
+			}
+		})
+	}
+}
+
+// TestShortBudgetGoesToTheHighestRank holds a budget that does not suffice to
+// few whole requests instead of a part of each.
+func TestShortBudgetGoesToTheHighestRank(t *testing.T) {
+	b := newBudget(0.2, 49, 16, 0)
+	const roots = 10
+	got := make([]int, roots)
+	for now := clock.Milli(0); now < 10*clock.Second; now++ {
+		root := int(now) % roots
+		b.earn()
+		if b.take(now, rules.Normal, uint64(root)*(math.MaxUint64/roots)) {
+			got[root]++
+		}
+	}
+	low, high := 0, 0
+	for i, n := range got {
+		if i < roots/2 {
+			low += n
+		} else {
+			high += n
+		}
+	}
+	if high < 4*low {
+		t.Errorf("the lower half of the roots got %d repeats, the higher %d", low, high)
+	}
+}
+
+func TestRepeatsFromAboveAreCharged(t *testing.T) {
+	b := newBudget(0.2, 49, 16, 0)
+	for range 100 {
+		b.earn()
+		b.charge(0)
+	}
+	if b.take(0, rules.Normal, math.MaxUint64) {
+		t.Error("a repeat was granted although those from above used the budget up")
+	}
+}
