Bound repeats by sliding windows, so that they outlast a fall of demand

Cause: a token bucket earns by present requests. When instances refuse half of what comes, chains end early, demand at the deepest service falls, and the repeats that would save the rest are no longer earned, though the users' bound looks at the window before as well.

Tests: random demand against every window; the attempts last through a fall. Ruled out: a larger share of the bucket, which breaks the bound at several levels at once.

--- a/internal/state/allow/ratio.go
+++ b/internal/state/allow/ratio.go
@@ -74,13 +74,6 @@
 	return true
 }
 
-// Charge takes one attempt whether there is one or not, for one that others
-// have made already. The debt is bounded like the savings.
-func (r *Ratio) Charge(now clock.Milli) {
-	r.floor(now)
-	r.tokens = max(r.tokens-whole, -int64(r.cfg.Burst)*whole)
-}
-
 // GiveBack returns an attempt that was taken and then not made.
 func (r *Ratio) GiveBack() { r.grant(whole) }
 
--- /dev/null
+++ b/internal/state/allow/window_test.go
@@ -0,0 +1,82 @@
+package allow
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// TestWindowKeepsItsBound draws demand that comes and goes and checks every
+// window of the length, wherever it begins.
+func TestWindowKeepsItsBound(t *testing.T) {
+	const span = 10 * clock.Second
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := WindowConfig{
+			Span:  span,
+			Share: rapid.Float64Range(0.01, 0.3).Draw(t, "share"),
+			Slack: rapid.Float64Range(0, 3).Draw(t, "slack"),
+		}
+		w := NewWindow(cfg, 0)
+		var asked, taken []clock.Milli
+		now := clock.Milli(0)
+		for range rapid.IntRange(1, 12).Draw(t, "phases") {
+			every := clock.Milli(rapid.IntRange(5, 900).Draw(t, "every"))
+			end := now + clock.Milli(rapid.IntRange(100, 8000).Draw(t, "length"))
+			for ; now < end; now += every {
+				w.Ask(now)
+				asked = append(asked, now)
+				for range 3 {
+					if w.Take(now) {
+						taken = append(taken, now)
+					}
+				}
+			}
+		}
+		// Requests are counted in whole steps, so a window is judged with one
+		// step more on each side.
+		const step = span / windowSteps
+		for _, begin := range taken {
+			n := within(taken, begin, begin+span-step)
+			most := max(within(asked, begin-step, begin+span+step), within(asked, begin-span-step, begin+step))
+			if float64(n) > cfg.Share*float64(most)+cfg.Slack+1e-9 {
+				t.Fatalf("from %d on, %d attempts for %d requests, share %.2f, slack %.1f", begin, n, most, cfg.Share, cfg.Slack)
+			}
+		}
+	})
+}
+
+func within(list []clock.Milli, from, to clock.Milli) int {
+	n := 0
+	for _, at := range list {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWindowLastsThroughAFallOfDemand(t *testing.T) {
+	w := NewWindow(WindowConfig{
+		Span:  10 * clock.Second,
+		Share: 0.1,
+	}, 0)
+	now := clock.Milli(0)
+	for ; now < 10*clock.Second; now += 10 {
+		w.Ask(now)
+	}
+	got := 0
+	for end := now + 5*clock.Second; now < end; now += 10 {
+		if w.Take(now) {
+			got++
+		}
+	}
+	if got < 40 || got > 100 {
+		t.Errorf("%d attempts in the 5 s after 1,000 requests, want most of 100", got)
+	}
+	now += 20 * clock.Second
+	if w.Take(now) {
+		t.Error("an attempt was granted long after the last request")
+	}
+}
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -92,7 +92,7 @@
 		s.budget.charge(o.cfg.Clock.Now())
 		return
 	}
-	s.budget.earn()
+	s.budget.earn(o.cfg.Clock.Now())
 }
 
 // mayMove reports whether a request that was not run may go to another target.
--- a/internal/trans/flow/budget.go
+++ b/internal/trans/flow/budget.go
@@ -13,7 +13,7 @@
 	commonShare = 0.35
 	vitalShare  = 0.45
 	// slackShare is the part of the fleet's slack that its daemons divide.
-	slackShare = 0.4
+	slackShare = 0.7
 	// budgetWindow is the time over which the fleet's slack counts.
 	budgetWindow = 10 * clock.Second
 	// floorEvery is the time between two changes of a lot's floor.
@@ -48,7 +48,7 @@
 // many repeats to succeed at all; given out evenly they would save none. All
 // daemons rank by the same root, so they help the same whole requests.
 type lot struct {
-	ratio *allow.Ratio
+	window *allow.Window
 	// floor is the least rank that may take.
 	floor rank
 	// least is the lowest rank above the floor that asked since the floor
@@ -61,10 +61,10 @@
 func newBudget(ratio float64, slack, daemons int, now clock.Milli) *budget {
 	part := func(share float64) lot {
 		return lot{
-			ratio: allow.NewRatio(allow.RatioConfig{
-				Share: int(ratio * share * 1000),
-				Burst: burstOf(slack, daemons),
-				Floor: floorOf(slack, daemons),
+			window: allow.NewWindow(allow.WindowConfig{
+				Span:  budgetWindow,
+				Share: ratio * share,
+				Slack: float64(slack) * slackShare / 2 / float64(max(daemons, 1)),
 			}, now),
 			least:   rankMost,
 			changed: now,
@@ -77,13 +77,13 @@
 }
 
 // earn records the first attempt of a request.
-func (b *budget) earn() {
-	b.common.ratio.Success()
-	b.vital.ratio.Success()
+func (b *budget) earn(now clock.Milli) {
+	b.common.window.Ask(now)
+	b.vital.window.Ask(now)
 }
 
 // charge records an attempt that is a repeat because of one above.
-func (b *budget) charge(now clock.Milli) { b.common.ratio.Charge(now) }
+func (b *budget) charge(now clock.Milli) { b.common.window.Charge(now) }
 
 // take takes one attempt and reports whether there was one.
 func (b *budget) take(now clock.Milli, importance rules.Importance, root uint64) bool {
@@ -101,7 +101,7 @@
 		return false
 	}
 	l.least = min(l.least, r)
-	if !l.ratio.Take(now) {
+	if !l.window.Take(now) {
 		l.short = true
 		return false
 	}
@@ -124,15 +124,3 @@
 	l.short = false
 	l.least = rankMost
 }
-
-// burstOf returns the attempts that one part of one of n daemons may save up.
-func burstOf(slack, n int) int {
-	return max(1, int(float64(slack)*slackShare/2)/max(n, 1))
-}
-
-// floorOf returns the time in which one part of one of n daemons gains an
-// attempt without any request: together they gain their part of the slack in a
-// window.
-func floorOf(slack, n int) clock.Milli {
-	return clock.Milli(2 * float64(budgetWindow) * float64(n) / max(float64(slack)*slackShare, 1))
-}
--- a/internal/trans/flow/budget_test.go
+++ b/internal/trans/flow/budget_test.go
@@ -50,7 +50,7 @@
 			requests, repeats := 0, 0
 			for now := clock.Milli(0); now < budgetWindow; now += tt.every {
 				for i, b := range budgets {
-					b.earn()
+					b.earn(now)
 					requests++
 					importance := rules.Importance(i % 4)
 					for b.take(now, importance, math.MaxUint64) {
@@ -74,7 +74,7 @@
 	got := make([]int, roots)
 	for now := clock.Milli(0); now < 10*clock.Second; now++ {
 		root := int(now) % roots
-		b.earn()
+		b.earn(now)
 		if b.take(now, rules.Normal, uint64(root)*(math.MaxUint64/roots)) {
 			got[root]++
 		}
@@ -95,7 +95,7 @@
 func TestRepeatsFromAboveAreCharged(t *testing.T) {
 	b := newBudget(0.2, 49, 16, 0)
 	for range 100 {
-		b.earn()
+		b.earn(0)
 		b.charge(0)
 	}
 	if b.take(0, rules.Normal, math.MaxUint64) {
