Let refused requests come again as often as the budget allows

Cause: a request that a target turned away was held to the route's number of targets, which bounds runs and not refusals, and went to another region once the targets of its own had refused it.

Change: runs count against the route; refusals against the budget alone, and the target that refused last is avoided only while there is another.

--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -47,7 +48,6 @@
 	s := o.service(c.service)
 	o.open(s, c)
 	mayHaveRun := false
-	moves := 0
 	var kept *guard.Answer
 	for {
 		t, flight, err := o.choose(s, c)
@@ -58,9 +58,7 @@
 		a, word := o.attempt(ctx, c, &t)
 		o.finish(s, c, t, flight, word)
 		c.reason = word.Outcome.String() + " " + word.Reason
-		if word.Arrived || word.Outcome == leg.Unknown {
-			c.arrived++
-		}
+		c.note(t.ID, word)
 		switch word.Outcome {
 		case leg.Done:
 			if !o.mayImprove(c, &a, word) {
@@ -69,8 +67,7 @@
 			kept = &a
 		case leg.NotRun:
 			c.wait = max(c.wait, word.Wait)
-			moves++
-			if ctx.Err() == nil && moves < movesMost && o.mayMove(s, c, word) {
+			if ctx.Err() == nil && o.mayMove(s, c, word) {
 				continue
 			}
 			return o.giveUp(ctx, c, mayHaveRun, kept)
@@ -95,13 +92,32 @@
 	s.budget.earn(o.cfg.Clock.Now())
 }
 
-// mayMove reports whether a request that was not run may go to another target.
-// One that reached a target is charged to the budget like a repeat.
+// mayMove reports whether a request that was not run may go on. One that
+// reached a target is charged to the budget like a repeat; what bounds the runs
+// of a request does not count for it.
 func (o *Outbound) mayMove(s *service, c *call, word leg.Word) bool {
 	if word.Arrived {
-		return o.mayRepeat(s, c)
+		return !c.isRepeat() && o.takeRepeat(s, c)
+	}
+	return c.moves < movesMost && o.isTimeLeft(c)
+}
+
+// note records what became of an attempt.
+func (c *call) note(target string, word leg.Word) {
+	switch {
+	case word.Outcome != leg.NotRun:
+		c.arrived++
+		c.ran++
+		c.avoid = append(c.avoid, target)
+	case word.Arrived:
+		// A target that turns away a part of what comes may take the request
+		// when it comes again; the others are asked first.
+		c.arrived++
+		c.rejected = target
+	default:
+		c.moves++
+		c.avoid = append(c.avoid, target)
 	}
-	return o.isTimeLeft(c)
 }
 
 // mayImprove reports whether an answer is a failure that another target may
@@ -133,9 +149,14 @@
 // counts as one already and is not repeated again.
 func (c *call) isRepeat() bool { return c.parent != nil && c.parent.Repeat }
 
-// mayRepeat takes one attempt from the budget, if there is time for it.
+// mayRepeat reports whether a request that ran, or may have, may run again.
 func (o *Outbound) mayRepeat(s *service, c *call) bool {
-	if c.arrived >= max(c.route.Attempts, 1) || !o.isTimeLeft(c) || c.isRepeat() {
+	return c.ran < max(c.route.Attempts, 1) && !c.isRepeat() && o.takeRepeat(s, c)
+}
+
+// takeRepeat takes one attempt from the budget, if there is time for it.
+func (o *Outbound) takeRepeat(s *service, c *call) bool {
+	if !o.isTimeLeft(c) {
 		return false
 	}
 	s.mu.Lock()
@@ -147,19 +168,28 @@
 	return true
 }
 
-// choose picks a target that has not been tried.
+// choose picks a target: none that the request ran on or whose daemon refused
+// it, and if there is another, not the one that turned it away last.
 func (o *Outbound) choose(s *service, c *call) (model.Target, pick.Flight, error) {
 	now := o.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now, o.cfg.View(), c.service, o.cfg.Self.Centres)
-	choice, err := s.picker.Choose(now, pick.Query{
+	q := pick.Query{
 		Op:         c.route.Name,
 		Importance: c.importance,
 		Root:       c.root,
-		Exclude:    c.tried,
+		Exclude:    c.avoid,
 		Bytes:      usualBytes,
-	})
+	}
+	if c.rejected != "" {
+		q.Exclude = append(slices.Clone(c.avoid), c.rejected)
+	}
+	choice, err := s.picker.Choose(now, q)
+	if err != nil && c.rejected != "" {
+		q.Exclude = c.avoid
+		choice, err = s.picker.Choose(now, q)
+	}
 	if err != nil {
 		return model.Target{}, pick.Flight{}, err
 	}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -185,9 +185,17 @@
 	// parent is the request whose call this is, nil if none is known.
 	parent   *Parent
 	deadline clock.Milli
-	tried    []string
-	// arrived counts the attempts that reached a target or may have.
+	// tried lists the targets of all attempts.
+	tried []string
+	// avoid lists those that must not be tried again, rejected is the one that
+	// turned the request away last.
+	avoid    []string
+	rejected string
+	// arrived counts the attempts that reached a target or may have, ran those
+	// among them that ran or may have, moves the refusals of daemons.
 	arrived int
+	ran     int
+	moves   int
 	reason  string
 	wait    clock.Milli
 }
