Ask a target that turns away a part again on its own host

The budget is earned where calls begin: four of sixteen daemons earned nearly all of it, and callers elsewhere had none. A target that turns away half also went on getting its whole share.

Change: the inbound side, which sees the requests of all callers, has the larger part of the budget and sends the request again while the target has room; the choice learns from requests that were turned away.

Not measured yet.

--- a/internal/proto/leg/leg.go
+++ b/internal/proto/leg/leg.go
@@ -63,6 +63,8 @@
 	Stamp ticket.Stamp
 	// Repeat says that the request ran before, or is a call of one that did.
 	Repeat bool
+	// Inherited says that it is a call of a run that is a repeat.
+	Inherited bool
 	// Ask says that only the state of the attempt is asked for.
 	Ask bool
 }
@@ -122,7 +124,7 @@
 }
 
 const (
-	hopParts  = 10
+	hopParts  = 11
 	wordParts = 10
 	base36    = 36
 )
@@ -140,6 +142,7 @@
 		strconv.FormatUint(h.Stamp.Generation, base36),
 		strconv.FormatUint(h.Root, base36),
 		flag(h.Repeat),
+		flag(h.Inherited),
 	}, ",")
 }
 
@@ -173,6 +176,7 @@
 		Depth:      depth,
 		Ask:        parts[4] == "1",
 		Repeat:     parts[9] == "1",
+		Inherited:  parts[10] == "1",
 		Key:        parts[5],
 		Stamp:      stamp,
 	}, nil
--- a/internal/proto/leg/leg_test.go
+++ b/internal/proto/leg/leg_test.go
@@ -23,6 +23,7 @@
 			Key:        text.Draw(t, "key"),
 			Ask:        rapid.Bool().Draw(t, "ask"),
 			Repeat:     rapid.Bool().Draw(t, "repeat"),
+			Inherited:  rapid.Bool().Draw(t, "inherited"),
 			Stamp: ticket.Stamp{
 				Incarnation: rapid.Uint64().Draw(t, "incarnation"),
 				Generation:  rapid.Uint64().Draw(t, "generation"),
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -204,7 +204,7 @@
 	switch {
 	case word.Outcome == leg.Done:
 		outcome = pick.Done
-	case word.Outcome == leg.NotRun:
+	case word.Outcome == leg.NotRun && !word.Arrived:
 		outcome = pick.Refused
 	case word.Reason == xchg.Canceled.String(), word.Reason == xchg.Timeout.String():
 		outcome = pick.Canceled
@@ -240,6 +240,7 @@
 		Root:       c.root,
 		Depth:      c.depth,
 		Repeat:     c.arrived > 0 || c.isRepeat(),
+		Inherited:  c.isRepeat(),
 	}
 	if !c.route.Once {
 		return o.send(ctx, c, t, hop, xchg.Options{})
--- a/internal/trans/flow/budget.go
+++ b/internal/trans/flow/budget.go
@@ -8,10 +8,13 @@
 
 const (
 	// commonShare and vitalShare are the parts of the fleet's ratio of repeats
-	// that all requests may use, and those of the highest importance beside it.
-	// The rest is a margin for what daemons do not see of each other.
-	commonShare = 0.35
-	vitalShare  = 0.45
+	// that all requests of an outbound side may use, and those of the highest
+	// importance beside it. againShare is that of an inbound side, which sees
+	// the requests of all callers. The rest is a margin for what daemons do not
+	// see of each other.
+	commonShare = 0.15
+	vitalShare  = 0.2
+	againShare  = 0.45
 	// slackShare is the part of the fleet's slack that its daemons divide.
 	slackShare = 0.7
 	// budgetWindow is the time over which the fleet's slack counts.
@@ -59,20 +62,23 @@
 }
 
 func newBudget(ratio float64, slack, daemons int, now clock.Milli) *budget {
-	part := func(share float64) lot {
-		return lot{
-			window: allow.NewWindow(allow.WindowConfig{
-				Span:  budgetWindow,
-				Share: ratio * share,
-				Slack: float64(slack) * slackShare / 2 / float64(max(daemons, 1)),
-			}, now),
-			least:   rankMost,
-			changed: now,
-		}
-	}
+	part := float64(slack) * slackShare / 2 / float64(max(daemons, 1))
 	return &budget{
-		common: part(commonShare),
-		vital:  part(vitalShare),
+		common: newLot(ratio*commonShare, part, now),
+		vital:  newLot(ratio*vitalShare, part, now),
+	}
+}
+
+// newLot returns a lot of a share of the requests and of slack in a window.
+func newLot(share, slack float64, now clock.Milli) lot {
+	return lot{
+		window: allow.NewWindow(allow.WindowConfig{
+			Span:  budgetWindow,
+			Share: share,
+			Slack: slack,
+		}, now),
+		least:   rankMost,
+		changed: now,
 	}
 }
 
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -48,6 +48,11 @@
 	// reasonUnreached is given for a request of which nothing was sent to the
 	// target.
 	reasonUnreached = "unreached"
+	// reasonTarget is given for a request that the target itself turned away.
+	reasonTarget = "target"
+	// roomShare is the part of the limit, in percent, up to which a target
+	// that turns work away is not simply full.
+	roomShare = 90
 )
 
 // Inbound is the only door to the target of its host. It is safe for
@@ -66,6 +71,8 @@
 
 	mu   sync.Mutex
 	gate *slot.Gate
+	// again bounds the requests that come to the target again on this host.
+	again lot
 	// target is the record that the gate was made for.
 	target model.Target
 	// actual is the id of the target as it was last told, by the target itself
@@ -102,6 +109,7 @@
 		gate: slot.New(admit.Config{
 			Slots: usualSlots,
 		}, cfg.Clock),
+		again: newLot(cfg.Ratio*againShare, 0, cfg.Clock.Now()),
 	}
 }
 
@@ -257,7 +265,7 @@
 // admit waits for a slot of the target and runs the request in it.
 func (n *Inbound) admit(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
 	now := n.cfg.Clock.Now()
-	gate, ok := n.open(now)
+	gate, ok := n.open(now, hop)
 	if !ok {
 		return n.refuse(r, hop, "leaving")
 	}
@@ -294,6 +302,11 @@
 		return n.refuse(r, hop, "fenced")
 	}
 	a, word := n.send(ctx, r, hop, deadline)
+	for n.mayTryAgain(ctx, hop, word, deadline) {
+		hop.Repeat = true
+		a, word = n.send(ctx, r, hop, deadline)
+	}
+	n.record(hop, a, word)
 	if word.Outcome == leg.Done {
 		took = n.cfg.Clock.Now() - began
 	}
@@ -316,10 +329,13 @@
 	n.actual = id
 }
 
-// open returns the gate, and false if the target takes no new work.
-func (n *Inbound) open(now clock.Milli) (*slot.Gate, bool) {
+// open records a request and returns the gate, and false if the target takes no new work.
+func (n *Inbound) open(now clock.Milli, hop leg.Hop) (*slot.Gate, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !hop.Repeat {
+		n.again.window.Ask(now)
+	}
 	if n.draining {
 		return n.gate, false
 	}
@@ -416,39 +432,58 @@
 	return n.runs[id[:dot]]
 }
 
-// judge tells from the exchange with the target what became of the request,
-// and records it.
+// judge tells from the exchange with the target what became of the request.
 func (n *Inbound) judge(r *xchg.Request, hop leg.Hop, a guard.Answer, err error) (guard.Answer, leg.Word) {
 	h := &n.cfg.Headers
 	id := r.Get(h.ID)
-	now := n.cfg.Clock.Now()
 	var e *xchg.Error
 	switch {
 	case errors.As(err, &e) && e.Kind == xchg.Unsent:
-		n.unrun(now, hop)
 		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, reasonUnreached)
 	case err != nil:
-		if hop.Key != "" {
-			n.table.Fail(now, hop.Key)
-		}
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was lost"), n.word(leg.Unknown, e.Kind.String())
-	case a.Status == fasthttp.StatusMisdirectedRequest || xchg.Get(a.Fields, h.NotRun) != "":
-		n.unrun(now, hop)
+	case a.Status == fasthttp.StatusMisdirectedRequest:
+		n.setActual(xchg.Get(a.Fields, h.Instance))
+		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, "other")
+	case xchg.Get(a.Fields, h.NotRun) != "":
 		n.cfg.Counts.Refused("target")
-		if a.Status == fasthttp.StatusMisdirectedRequest {
-			n.setActual(xchg.Get(a.Fields, h.Instance))
-		}
-		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, "target-"+strconv.Itoa(a.Status))
+		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, reasonTarget)
 	case !isWhole(&a, h.Signature):
-		if hop.Key != "" {
-			n.table.Fail(now, hop.Key)
-		}
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was spoiled"), n.word(leg.Unknown, "spoiled")
 	}
-	if hop.Key != "" {
+	return a, n.word(leg.Done, "run")
+}
+
+// record tells the guard how an attempt that it has started ended.
+func (n *Inbound) record(hop leg.Hop, a guard.Answer, word leg.Word) {
+	if hop.Key == "" {
+		return
+	}
+	now := n.cfg.Clock.Now()
+	switch word.Outcome {
+	case leg.Done:
 		n.table.Finish(now, hop.Key, a)
+	case leg.NotRun:
+		n.table.Unrun(now, hop.Key)
+	default:
+		n.table.Fail(now, hop.Key)
 	}
-	return a, n.word(leg.Done, "run")
+}
+
+// mayTryAgain reports whether a request that the target turned away may come to
+// it again at once: the target has room by the gate's count, so it refuses a
+// part of what comes for a reason of its own, and the budget has an attempt.
+func (n *Inbound) mayTryAgain(ctx context.Context, hop leg.Hop, word leg.Word, deadline clock.Milli) bool {
+	now := n.cfg.Clock.Now()
+	if word.Reason != reasonTarget || ctx.Err() != nil || deadline-now <= leastLeft {
+		return false
+	}
+	if word.Running*100 > word.Limit*roomShare || hop.Inherited {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.again.take(now, rankOf(hop.Importance, hop.Root))
 }
 
 // isWhole reports whether an answer is the target's own: a success has its
@@ -460,12 +495,6 @@
 	return a.Status >= 300 || xchg.Get(a.Fields, signature) != ""
 }
 
-func (n *Inbound) unrun(now clock.Milli, hop leg.Hop) {
-	if hop.Key != "" {
-		n.table.Unrun(now, hop.Key)
-	}
-}
-
 // SetTarget tells the inbound side of the record of its target. A new life of
 // the target begins with an empty gate.
 func (n *Inbound) SetTarget(t model.Target, ok bool) {
