--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -377,7 +377,7 @@
 	run := n.enter(r.Get(h.ID), hop)
 	a, err := n.apps.Do(ctx, n.cfg.Self.Target, &out, o)
 	n.leave(r.Get(h.ID))
-	a, word := n.judge(r, hop, a, err)
+	a, word := n.judge(r, a, err)
 	word.Arrived = word.Reason != reasonUnreached
 	if a.Status >= fasthttp.StatusInternalServerError && run.failed.Load() {
 		word.Reason = leg.ReasonCall
@@ -433,7 +433,7 @@
 }
 
 // judge tells from the exchange with the target what became of the request.
-func (n *Inbound) judge(r *xchg.Request, hop leg.Hop, a guard.Answer, err error) (guard.Answer, leg.Word) {
+func (n *Inbound) judge(r *xchg.Request, a guard.Answer, err error) (guard.Answer, leg.Word) {
 	h := &n.cfg.Headers
 	id := r.Get(h.ID)
 	var e *xchg.Error
