Obey every setting that is read, and drop what nothing used

Cause: read as a newcomer: drain and window were read and not used, a reload said nothing true about other fields, the connections that a target accepts were decoded and ignored, and a few names had no user.

Change: the budget's window, the time for requests under way to a leaving target and the gate's bound on connections come from settings and configuration; a reload takes in grace and memory and says whether anything else changed.

--- a/internal/side/settings.go
+++ b/internal/side/settings.go
@@ -118,8 +118,11 @@
 	if s.Metrics < 1 || s.Metrics > 65_535 {
 		return fmt.Errorf("settings: field metrics: %d is not a port", s.Metrics)
 	}
-	if s.Memory < 1 || s.Grace < 1 || s.Drain < 1 {
-		return fmt.Errorf("settings: fields memory, grace and drain must be above 0")
+	if s.Memory < 1 || s.Grace < 1 || s.Drain < 1 || s.Window < 1 {
+		return fmt.Errorf("settings: fields memory, grace, drain and window must be above 0")
+	}
+	if s.Ratio < 0 || s.Slack < 0 {
+		return fmt.Errorf("settings: fields ratio and slack must not be below 0")
 	}
 	if s.Centres[s.Centre] != s.Region {
 		return fmt.Errorf("settings: field centres: %s is not in %s", s.Centre, s.Region)
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -8,6 +8,7 @@
 	"math"
 	mrand "math/rand/v2"
 	"net"
+	"reflect"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -72,7 +73,7 @@
 // New returns a daemon that does nothing yet.
 func New(set Settings, c clock.Clock, log *zap.Logger) (*Daemon, error) {
 	debug.SetGCPercent(collectPercent)
-	debug.SetMemoryLimit(int64(set.Memory) << 20 * memoryShare / 100)
+	limitMemory(set.Memory)
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, fmt.Errorf("side: draw an incarnation: %w", err)
@@ -104,6 +105,8 @@
 		Incarnation: d.incarnation,
 		Ratio:       set.Ratio,
 		Slack:       set.Slack,
+		Window:      clock.Milli(set.Window) * clock.Second,
+		Drain:       clock.Milli(set.Drain),
 	}
 	d.inbound = flow.NewInbound(cfg)
 	d.outbound = flow.NewOutbound(cfg, d.inbound)
@@ -145,7 +148,11 @@
 		return
 	}
 	t, ok := v.Fleet.At(d.set.Target)
-	d.inbound.SetTarget(t, ok)
+	conns := 0
+	if v.Config != nil {
+		conns = v.Config.Services[d.set.Service].Conns
+	}
+	d.inbound.SetTarget(t, ok, conns)
 }
 
 func (d *Daemon) callerLimits() xchg.ServerLimits {
@@ -298,12 +305,19 @@
 	event.Info(d.log, event.Stopped)
 }
 
-// Reload takes in changed settings. What is fixed at the start, such as the
-// addresses, needs a restart, and the log says so.
+// Reload takes in changed settings: the grace of a stop and the memory limit
+// hold from now on. What else has changed needs a restart, and the log says so.
+// It must not be called together with Stop.
 func (d *Daemon) Reload(set Settings) {
-	changed := set.Address != d.set.Address || set.Outbound != d.set.Outbound || set.Inbound != d.set.Inbound ||
-		set.Ready != d.set.Ready || set.Target != d.set.Target || set.Store != d.set.Store
-	event.Info(d.log, event.Reloaded, zap.Bool("restart", changed))
+	d.set.Grace = set.Grace
+	d.set.Memory = set.Memory
+	limitMemory(set.Memory)
+	event.Info(d.log, event.Reloaded, zap.Bool("restart", !reflect.DeepEqual(set, d.set)))
+}
+
+// limitMemory makes the collector work harder near the limit of the process.
+func limitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(megabytes) << 20 * memoryShare / 100)
 }
 
 // Kill ends the daemon at once, as when its process is killed.
--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -39,8 +39,6 @@
 // Service is what the configuration says of a service.
 type Service struct {
 	Name string
-	// Health is the path of the health check.
-	Health string
 	// Conns is the number of connections that each target accepts.
 	Conns int
 }
@@ -91,14 +89,3 @@
 		})
 	}
 }
-
-// Lowest returns the rank of the least important route.
-func (c *Config) Lowest() int {
-	lowest := 0
-	for _, routes := range c.Hosts {
-		for i := range routes {
-			lowest = max(lowest, routes[i].Rank)
-		}
-	}
-	return lowest
-}
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -245,7 +245,7 @@
 	if !c.route.Once {
 		return o.send(ctx, c, t, hop, xchg.Options{})
 	}
-	hop.Key = c.id + "/" + itoa(len(c.tried))
+	hop.Key = c.id + "/" + strconv.Itoa(len(c.tried))
 	return o.sendOnce(ctx, c, t, hop)
 }
 
--- a/internal/trans/flow/budget.go
+++ b/internal/trans/flow/budget.go
@@ -17,8 +17,6 @@
 	againShare  = 0.45
 	// slackShare is the part of the fleet's slack that its daemons divide.
 	slackShare = 0.7
-	// budgetWindow is the time over which the fleet's slack counts.
-	budgetWindow = 10 * clock.Second
 	// floorEvery is the time between two changes of a lot's floor.
 	floorEvery = 100 * clock.Millisecond
 	// floorRise and floorFall are those changes, in ranks.
@@ -61,20 +59,21 @@
 	changed clock.Milli
 }
 
-func newBudget(ratio float64, slack, daemons int, now clock.Milli) *budget {
-	part := float64(slack) * slackShare / 2 / float64(max(daemons, 1))
+func newBudget(cfg *Config, daemons int, now clock.Milli) *budget {
+	part := float64(cfg.Slack) * slackShare / 2 / float64(max(daemons, 1))
 	return &budget{
-		common: newLot(ratio*commonShare, part, now),
-		vital:  newLot(ratio*vitalShare, part, now),
+		common: newLot(cfg, commonShare, part, now),
+		vital:  newLot(cfg, vitalShare, part, now),
 	}
 }
 
-// newLot returns a lot of a share of the requests and of slack in a window.
-func newLot(share, slack float64, now clock.Milli) lot {
+// newLot returns a lot with a share of the fleet's ratio, and with slack
+// attempts in a window.
+func newLot(cfg *Config, share, slack float64, now clock.Milli) lot {
 	return lot{
 		window: allow.NewWindow(allow.WindowConfig{
-			Span:  budgetWindow,
-			Share: share,
+			Span:  cfg.Window,
+			Share: cfg.Ratio * share,
 			Slack: slack,
 		}, now),
 		least:   rankMost,
--- a/internal/trans/flow/budget_test.go
+++ b/internal/trans/flow/budget_test.go
@@ -8,6 +8,19 @@
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
+const (
+	testRatio  = 0.2
+	testWindow = 10 * clock.Second
+)
+
+func testConfig(slack int) *Config {
+	return &Config{
+		Ratio:  testRatio,
+		Slack:  slack,
+		Window: testWindow,
+	}
+}
+
 // TestFleetKeepsTheBudget sends requests that all want repeats through daemons
 // that do not talk to each other, and counts what they send together.
 func TestFleetKeepsTheBudget(t *testing.T) {
@@ -42,13 +55,12 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			const ratio = 0.2
 			budgets := make([]*budget, tt.daemons-tt.away)
 			for i := range budgets {
-				budgets[i] = newBudget(ratio, tt.slack, tt.daemons, 0)
+				budgets[i] = newBudget(testConfig(tt.slack), tt.daemons, 0)
 			}
 			requests, repeats := 0, 0
-			for now := clock.Milli(0); now < budgetWindow; now += tt.every {
+			for now := clock.Milli(0); now < testWindow; now += tt.every {
 				for i, b := range budgets {
 					b.earn(now)
 					requests++
@@ -58,7 +70,7 @@
 					}
 				}
 			}
-			most := int(ratio*float64(requests)) + tt.slack
+			most := int(testRatio*float64(requests)) + tt.slack
 			if repeats > most {
 				t.Errorf("%d repeats of %d requests, the fleet may send %d", repeats, requests, most)
 			}
@@ -69,7 +81,7 @@
 // TestShortBudgetGoesToTheHighestRank holds a budget that does not suffice to
 // few whole requests instead of a part of each.
 func TestShortBudgetGoesToTheHighestRank(t *testing.T) {
-	b := newBudget(0.2, 49, 16, 0)
+	b := newBudget(testConfig(49), 16, 0)
 	const roots = 10
 	got := make([]int, roots)
 	for now := clock.Milli(0); now < 10*clock.Second; now++ {
@@ -93,7 +105,7 @@
 }
 
 func TestRepeatsFromAboveAreCharged(t *testing.T) {
-	b := newBudget(0.2, 49, 16, 0)
+	b := newBudget(testConfig(49), 16, 0)
 	for range 100 {
 		b.earn(0)
 		b.charge(0)
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -74,8 +74,12 @@
 	Incarnation uint64
 	// Ratio and Slack bound the attempts beyond the first of each request at a
 	// service, over all daemons: a share of its requests and a number more.
-	Ratio float64
-	Slack int
+	// Window is the time over which they count.
+	Ratio  float64
+	Slack  int
+	Window clock.Milli
+	// Drain is the time after which a target that leaves gets no new work.
+	Drain clock.Milli
 }
 
 const (
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -40,9 +40,10 @@
 	targetRested = 250 * clock.Millisecond
 	// usualSlots is taken for a target without a record.
 	usualSlots = 32
-	// leavingGrace is how long after a target's record said that it leaves
-	// its daemon still lets requests through that were sent before.
-	leavingGrace = clock.Second
+	// leavingShare is the part of the drain time, in percent, in which the
+	// daemon of a target that leaves still lets requests through that were sent
+	// before.
+	leavingShare = 40
 	// refusedWait is the least time after which a refused request is welcome.
 	refusedWait = 200 * clock.Millisecond
 	// reasonUnreached is given for a request of which nothing was sent to the
@@ -109,7 +110,7 @@
 		gate: slot.New(admit.Config{
 			Slots: usualSlots,
 		}, cfg.Clock),
-		again: newLot(cfg.Ratio*againShare, 0, cfg.Clock.Now()),
+		again: newLot(&cfg, againShare, 0, cfg.Clock.Now()),
 	}
 }
 
@@ -339,7 +340,7 @@
 	if n.draining {
 		return n.gate, false
 	}
-	return n.gate, n.left == 0 || now-n.left < leavingGrace
+	return n.gate, n.left == 0 || now-n.left < n.cfg.Drain*leavingShare/100
 }
 
 // await waits for the signal of a queued work. It returns why the work will
@@ -495,9 +496,10 @@
 	return a.Status >= 300 || xchg.Get(a.Fields, signature) != ""
 }
 
-// SetTarget tells the inbound side of the record of its target. A new life of
-// the target begins with an empty gate.
-func (n *Inbound) SetTarget(t model.Target, ok bool) {
+// SetTarget tells the inbound side of the record of its target and of the
+// connections that it accepts, 0 if unknown. A new life of the target begins
+// with an empty gate.
+func (n *Inbound) SetTarget(t model.Target, ok bool, conns int) {
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -515,6 +517,7 @@
 	n.actual = t.ID
 	n.gate = slot.New(admit.Config{
 		Slots: max(t.Slots, 1),
+		Conns: conns,
 	}, n.cfg.Clock)
 	n.apps.Drop(n.cfg.Self.Target)
 }
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -295,5 +294,3 @@
 func (o *Outbound) failure(c *call, status int, text string) guard.Answer {
 	return o.cfg.plain(c.id, status, text)
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -49,7 +49,7 @@
 			// in time is worth no more for being faster.
 			OwnFirst: true,
 		}),
-		budget:  newBudget(cfg.Ratio, cfg.Slack, daemons, now),
+		budget:  newBudget(cfg, daemons, now),
 		targets: make(map[string]model.Target),
 		marks:   make(map[string]clock.Milli),
 		seen:    make(map[string]clock.Milli),
