--- /dev/null
+++ b/internal/trans/flow/entry.go
@@ -0,0 +1,114 @@
+package flow
+
+import (
+	"context"
+
+	"siskinswitch.example/siskin/internal/proto/leg"
+	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/trans/slot"
+	"siskinswitch.example/siskin/internal/trans/xchg"
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// admit waits for a slot of the target and runs the request in it.
+func (n *Inbound) admit(ctx context.Context, r *xchg.Request, hop leg.Hop) (guard.Answer, leg.Word) {
+	now := n.cfg.Clock.Now()
+	gate, ok := n.open(now, hop)
+	if !ok {
+		return n.refuse(r, hop, "leaving")
+	}
+	if n.isOther(hop.Target) {
+		return n.refuse(r, hop, "moved")
+	}
+	if !n.Floor(hop.Path).Passes(hop.Importance, hop.Root) {
+		return n.refuse(r, hop, "deeper")
+	}
+	deadline := now + leftOf(r, n.cfg.Headers.Deadline)
+	work, d, signals := gate.Offer(admit.Work{
+		Path:       hop.Path,
+		Importance: hop.Importance,
+		Root:       hop.Root,
+		Depth:      hop.Depth,
+		Deadline:   deadline,
+	})
+	switch d.Verdict {
+	case admit.Refuse:
+		return n.refuse(r, hop, d.Reason.String())
+	case admit.Queue:
+		if reason := n.await(ctx, gate, work, signals); reason != "" {
+			return n.refuse(r, hop, reason)
+		}
+	case admit.Run:
+	}
+	began := n.cfg.Clock.Now()
+	took := clock.Milli(-1)
+	defer func() { gate.Done(work, took) }()
+	if ctx.Err() != nil {
+		return n.refuse(r, hop, "canceled")
+	}
+	if hop.Key != "" && !n.table.Start(hop.Key) {
+		return n.refuse(r, hop, "fenced")
+	}
+	a, word := n.send(ctx, r, hop, deadline)
+	for n.mayTryAgain(ctx, hop, word, deadline) {
+		hop.Repeat = true
+		a, word = n.send(ctx, r, hop, deadline)
+	}
+	n.record(hop, a, word)
+	if word.Outcome == leg.Done {
+		took = n.cfg.Clock.Now() - began
+	}
+	return a, word
+}
+
+// isOther reports whether the target that a request is meant for is known not
+// to be the one on this host. The target would turn it away, and its arrival
+// would count.
+func (n *Inbound) isOther(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.actual != "" && n.actual != id
+}
+
+// setActual records the id that the target itself gave.
+func (n *Inbound) setActual(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.actual = id
+}
+
+// open records a request and returns the gate, and false if the target takes no new work.
+func (n *Inbound) open(now clock.Milli, hop leg.Hop) (*slot.Gate, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !hop.Repeat {
+		n.again.window.Ask(now)
+	}
+	if n.draining {
+		return n.gate, false
+	}
+	return n.gate, n.left == 0 || now-n.left < n.cfg.Drain*leavingShare/100
+}
+
+// await waits for the signal of a queued work. It returns why the work will
+// not run, or nothing if it holds a slot.
+func (n *Inbound) await(ctx context.Context, gate *slot.Gate, w admit.Work, signals <-chan slot.Signal) string {
+	var s slot.Signal
+	select {
+	case s = <-signals:
+	case <-ctx.Done():
+		if gate.Cancel(w) {
+			return "canceled"
+		}
+		s = <-signals
+	}
+	switch s {
+	case slot.Evicted:
+		return admit.Full.String()
+	case slot.Expired:
+		return admit.Late.String()
+	case slot.Started:
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/trans/flow/parent.go
@@ -0,0 +1,56 @@
+package flow
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"siskinswitch.example/siskin/internal/proto/leg"
+	"siskinswitch.example/siskin/internal/state/rules"
+)
+
+// Parent is a request at the target as its own calls inherit from it.
+type Parent struct {
+	Path       string
+	Importance rules.Importance
+	Root       uint64
+	Depth      int
+	// Repeat says that the run is a repeat, and so are its calls.
+	Repeat bool
+	// failed says that one of its calls failed.
+	failed atomic.Bool
+}
+
+// enter records that a request is at the target.
+func (n *Inbound) enter(id string, hop leg.Hop) *Parent {
+	p := &Parent{
+		Path:       hop.Path,
+		Importance: hop.Importance,
+		Root:       hop.Root,
+		Depth:      hop.Depth,
+		Repeat:     hop.Repeat,
+	}
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	n.runs[id] = p
+	return p
+}
+
+func (n *Inbound) leave(id string) {
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	delete(n.runs, id)
+}
+
+// Parent returns the request at the target that made the call of the id, nil
+// if there is none. A target derives the ids of its calls from that of the
+// request that it runs, with a dot between the parts. Only the order of work
+// and the number of repeats rest on this.
+func (n *Inbound) Parent(id string) *Parent {
+	dot := strings.LastIndexByte(id, '.')
+	if dot < 0 {
+		return nil
+	}
+	n.runsMu.Lock()
+	defer n.runsMu.Unlock()
+	return n.runs[id[:dot]]
+}
--- /dev/null
+++ b/internal/trans/flow/target.go
@@ -0,0 +1,98 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinswitch.example/siskin/internal/proto/leg"
+	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/trans/xchg"
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// send makes the exchange with the target and records how it ended.
+func (n *Inbound) send(ctx context.Context, r *xchg.Request, hop leg.Hop, deadline clock.Milli) (guard.Answer, leg.Word) {
+	h := &n.cfg.Headers
+	out := *r
+	out.Fields = xchg.With(r.Fields, h.Expected, hop.Target)
+	out.Fields = xchg.With(out.Fields, h.Deadline, strconv.FormatInt(int64(max(deadline-n.cfg.Clock.Now(), 1)), 10))
+	o := xchg.Options{}
+	if hop.Key != "" {
+		o.Rested = targetRested
+	}
+	run := n.enter(r.Get(h.ID), hop)
+	a, err := n.apps.Do(ctx, n.cfg.Self.Target, &out, o)
+	n.leave(r.Get(h.ID))
+	a, word := n.judge(r, a, err)
+	word.Arrived = word.Reason != reasonUnreached
+	if a.Status >= fasthttp.StatusInternalServerError && run.failed.Load() {
+		word.Reason = leg.ReasonCall
+	}
+	return a, word
+}
+
+// judge tells from the exchange with the target what became of the request.
+func (n *Inbound) judge(r *xchg.Request, a guard.Answer, err error) (guard.Answer, leg.Word) {
+	h := &n.cfg.Headers
+	id := r.Get(h.ID)
+	var e *xchg.Error
+	switch {
+	case errors.As(err, &e) && e.Kind == xchg.Unsent:
+		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, reasonUnreached)
+	case err != nil:
+		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was lost"), n.word(leg.Unknown, e.Kind.String())
+	case a.Status == fasthttp.StatusMisdirectedRequest:
+		n.setActual(xchg.Get(a.Fields, h.Instance))
+		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, "other")
+	case xchg.Get(a.Fields, h.NotRun) != "":
+		n.cfg.Counts.Refused("target")
+		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, reasonTarget)
+	case !isWhole(&a, h.Signature):
+		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was spoiled"), n.word(leg.Unknown, "spoiled")
+	}
+	return a, n.word(leg.Done, "run")
+}
+
+// record tells the guard how an attempt that it has started ended.
+func (n *Inbound) record(hop leg.Hop, a guard.Answer, word leg.Word) {
+	if hop.Key == "" {
+		return
+	}
+	now := n.cfg.Clock.Now()
+	switch word.Outcome {
+	case leg.Done:
+		n.table.Finish(now, hop.Key, a)
+	case leg.NotRun:
+		n.table.Unrun(now, hop.Key)
+	default:
+		n.table.Fail(now, hop.Key)
+	}
+}
+
+// mayTryAgain reports whether a request that the target turned away may come to
+// it again at once: the target has room by the gate's count, so it refuses a
+// part of what comes for a reason of its own, and the budget has an attempt.
+func (n *Inbound) mayTryAgain(ctx context.Context, hop leg.Hop, word leg.Word, deadline clock.Milli) bool {
+	now := n.cfg.Clock.Now()
+	if word.Reason != reasonTarget || ctx.Err() != nil || deadline-now <= leastLeft {
+		return false
+	}
+	if word.Running*100 > word.Limit*roomShare || hop.Inherited {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.again.take(now, rankOf(hop.Importance, hop.Root))
+}
+
+// isWhole reports whether an answer is the target's own: a success has its
+// signature, and its body is not encoded.
+func isWhole(a *guard.Answer, signature string) bool {
+	if xchg.Get(a.Fields, "Content-Encoding") != "" {
+		return false
+	}
+	return a.Status >= 300 || xchg.Get(a.Fields, signature) != ""
+}
