Serve what a stopping daemon has taken before it ends

Cause: a daemon that stops closed its listeners and, in the same step, all connections without a request. Ruled out: work cut at a target (every case ran 0 times), a collision of loopback nets (the targets could not have listened). Change: listeners take in who waits, close, and what they took is served for 150 ms more. The platform's servers use trans/accept for that, as the daemon of our own interface does; the second accept loop in xchg is gone.

--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -22,6 +22,7 @@
 	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/trans/accept"
 	"siskinswitch.example/siskin/internal/trans/flow"
 	"siskinswitch.example/siskin/internal/trans/xchg"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -67,7 +68,7 @@
 	peers    *xchg.Server
 	stopping atomic.Bool
 	cancel   context.CancelFunc
-	listens  []net.Listener
+	listens  []*accept.Listener
 }
 
 // New returns a daemon that does nothing yet.
@@ -197,7 +198,7 @@
 			serve: d.callers.Serve,
 		},
 	} {
-		listener, err := xchg.Listen(l.addr)
+		listener, err := xchg.Listen(l.addr, d.clock)
 		if err != nil {
 			return fmt.Errorf("side: listen on %s: %w", l.addr, err)
 		}
@@ -273,6 +274,11 @@
 	stopMargin = 300 * clock.Millisecond
 	// stopAnswer is the time before that by which the last answers are due.
 	stopAnswer = 100 * clock.Millisecond
+	// stopDrain is the time for taking in who waits at one listener.
+	stopDrain = 20 * clock.Millisecond
+	// stopLinger is the time for which connections that were taken are still
+	// served when no more are taken: their requests may be on the way.
+	stopLinger = 150 * clock.Millisecond
 )
 
 // Stop ends the daemon. It says at once that it is not ready and takes no new
@@ -286,17 +292,12 @@
 	d.callers.Stop()
 	d.outbound.Close(began + grace - stopMargin - stopAnswer)
 	event.Info(d.log, event.Stopping)
-	for {
-		passed := d.clock.Now() - began
-		idle := d.callers.Busy() == 0 && d.peers.Busy() == 0
-		if passed >= grace*stopShare/100 && idle || passed >= grace-stopMargin {
-			break
-		}
-		<-d.clock.After(stopStep)
-	}
+	last := began + grace - stopMargin
+	d.awaitIdle(began+grace*stopShare/100, last-stopLinger-clock.Milli(len(d.listens))*stopDrain)
 	for _, l := range d.listens {
-		_ = l.Close()
+		l.Drain(stopDrain)
 	}
+	d.awaitIdle(d.clock.Now()+stopLinger, last)
 	d.callers.CloseIdle()
 	d.cancel()
 	if d.callers.Busy()+d.peers.Busy() > 0 {
@@ -305,6 +306,19 @@
 	event.Info(d.log, event.Stopped)
 }
 
+// awaitIdle waits until no request is left, at least until one instant and at
+// most until another.
+func (d *Daemon) awaitIdle(least, most clock.Milli) {
+	for {
+		now := d.clock.Now()
+		isIdle := d.callers.Busy() == 0 && d.peers.Busy() == 0
+		if now >= least && isIdle || now >= most {
+			return
+		}
+		<-d.clock.After(stopStep)
+	}
+}
+
 // Reload takes in changed settings: the grace of a stop and the memory limit
 // hold from now on. What else has changed needs a restart, and the log says so.
 // It must not be called together with Stop.
--- a/internal/trans/accept/accept.go
+++ b/internal/trans/accept/accept.go
@@ -163,6 +163,23 @@
 	return socket.SyscallConn()
 }
 
+// CloseWrite ends what is sent on the connection.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return errNoSocket
+}
+
+// SetLinger sets what Close does with bytes that are not sent yet, like the
+// method of [net.TCPConn].
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errNoSocket
+}
+
 // Close closes the connection and forgets it.
 func (c *conn) Close() error {
 	c.ln.mu.Lock()
--- a/internal/trans/xchg/server.go
+++ b/internal/trans/xchg/server.go
@@ -67,9 +67,6 @@
 	lingerTime = clock.Second
 	// writeTime is how long a caller may take to read one answer.
 	writeTime = 20 * clock.Second
-	// acceptPause is the pause after a failure to accept, such as for lack of
-	// descriptors.
-	acceptPause = 20 * clock.Millisecond
 	// headerSlack is the room of a read buffer beyond the longest head.
 	headerSlack = 1 << 10
 	// headerUsual is the size of a read buffer that most heads fit in.
@@ -84,16 +81,13 @@
 	}
 }
 
-// Serve accepts connections until l is closed.
+// Serve serves the connections that l accepts until it fails, as it does when it
+// is closed. [Listen] returns a listener that outlasts passing failures.
 func (s *Server) Serve(l net.Listener) {
 	for {
 		raw, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
 		if err != nil {
-			time.Sleep(acceptPause.Duration())
-			continue
+			return
 		}
 		go s.serve(raw)
 	}
@@ -384,8 +378,8 @@
 // drop resets the connection and ends the handlers behind it.
 func (c *session) drop() {
 	c.cancel()
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if l, ok := c.raw.(lingerer); ok {
+		_ = l.SetLinger(0)
 	}
 	_ = c.raw.Close()
 }
@@ -396,8 +390,8 @@
 func (c *session) finish() {
 	c.closing.Store(true)
 	c.cancel()
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if w, ok := c.raw.(writeCloser); ok {
+		_ = w.CloseWrite()
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime.Duration()))
 	go func() {
--- a/internal/trans/xchg/socket.go
+++ b/internal/trans/xchg/socket.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"siskinswitch.example/siskin/internal/trans/accept"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -44,13 +45,27 @@
 	return set
 }
 
+// lingerer is a connection whose Close can be made a reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// writeCloser is a connection of which one direction can be closed.
+type writeCloser interface {
+	CloseWrite() error
+}
+
 // Listen opens a listening socket whose connections are probed while idle.
-func Listen(addr string) (net.Listener, error) {
+func Listen(addr string, c clock.Clock) (*accept.Listener, error) {
 	cfg := net.ListenConfig{
 		Control:         setUserTimeout,
 		KeepAliveConfig: keepAlive(),
 	}
-	return cfg.Listen(context.Background(), "tcp4", addr)
+	l, err := cfg.Listen(context.Background(), "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return accept.Wrap(l, c), nil
 }
 
 // dial opens a connection within wait.
--- a/internal/trans/xchg/xchg_test.go
+++ b/internal/trans/xchg/xchg_test.go
@@ -42,7 +42,7 @@
 			Body:   []byte(err.Error()),
 		}
 	}
-	l, err := Listen("127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", clock.System())
 	if err != nil {
 		t.Fatal(err)
 	}
