Linger at a stop also where the stop was held up

Cause: the linger after closing the listeners ended at the time that the stop may last. Where the daemon had been held up beyond it, the linger was skipped and what had just been taken was cut.

--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -297,7 +297,8 @@
 	for _, l := range d.listens {
 		l.Drain(stopDrain)
 	}
-	d.awaitIdle(d.clock.Now()+stopLinger, last)
+	served := d.clock.Now() + stopLinger
+	d.awaitIdle(served, max(served, last))
 	d.callers.CloseIdle()
 	d.cancel()
 	if d.callers.Busy()+d.peers.Busy() > 0 {
