Tell the cause of a failed request from the logs alone

Requests that met no route or no configuration left no line at all. The outbound side writes a line for each request that it chooses no target for. Histograms of answer, slot and target times and gauges of the gate, the version and the store's age are served; a test holds their table. A changed settings file is taken in without a signal, the log says what changed and what waits, and a fault names its field. Ruled out: carrying the wait for a slot in the line of an attempt; the histogram tells it and the line would grow for each request.

--- a/cmd/siskind/side.go
+++ b/cmd/siskind/side.go
@@ -1,17 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"go.uber.org/dig"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
-	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/side"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/platform"
@@ -21,14 +21,25 @@
 // platform.
 const sideCommand = "side"
 
+const (
+	// settingsEvery is the time between two looks at the settings file, which
+	// may change without a signal.
+	settingsEvery = 2 * clock.Second
+	// signalsMost is the number of signals that may wait.
+	signalsMost = 4
+)
+
 // startSide runs the daemon on the users' platform and returns its exit code.
 func startSide(stderr io.Writer) int {
+	// A signal that comes before this ends the process.
+	signals := make(chan os.Signal, signalsMost)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	set, err := readSideSettings()
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "siskind: %v\n", err)
 		return exitUsage
 	}
-	if err := runSide(set); err != nil {
+	if err := runSide(set, signals); err != nil {
 		_, _ = fmt.Fprintf(stderr, "siskind: %v\n", dig.RootCause(err))
 		return exitFailed
 	}
@@ -40,22 +51,22 @@
 	if path == "" {
 		return side.Settings{}, fmt.Errorf("settings: the variable %s is not set", platform.SettingsVariable)
 	}
-	f, err := os.Open(path)
+	body, err := os.ReadFile(path)
 	if err != nil {
 		return side.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	defer func() { _ = f.Close() }()
-	set, err := side.ReadSettings(f)
+	set, err := side.ReadSettings(bytes.NewReader(body))
 	if err != nil {
 		return set, fmt.Errorf("%s: %w", path, err)
 	}
 	return set, nil
 }
 
-func runSide(set side.Settings) error {
+func runSide(set side.Settings, signals chan os.Signal) error {
 	c := dig.New()
 	for _, provider := range []any{
 		func() side.Settings { return set },
+		func() chan os.Signal { return signals },
 		clock.System,
 		newSideLines,
 		newSideLogger,
@@ -72,31 +83,31 @@
 func newSideLines(c clock.Clock) *side.Lines { return side.NewLines(os.Stdout, c) }
 
 func newSideLogger(set side.Settings, lines *side.Lines) *zap.Logger {
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), lines, zapcore.InfoLevel)
-	return zap.New(core).With(zap.String("host", set.Name))
+	return side.NewLogger(lines).With(zap.String("host", set.Name))
 }
 
 // serveSide starts the daemon and waits for a signal to stop.
-func serveSide(d *side.Daemon, lines *side.Lines, log *zap.Logger) error {
+func serveSide(d *side.Daemon, lines *side.Lines, signals chan os.Signal) error {
 	defer lines.Close()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := d.Start(); err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	look := time.NewTicker(settingsEvery.Duration())
+	defer look.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				d.Stop()
+				return nil
+			}
+		case <-look.C:
 		}
 		set, err := readSideSettings()
 		if err != nil {
-			event.Warn(log, event.Unreloaded, zap.Error(err))
+			d.NotReloaded(err)
 			continue
 		}
 		d.Reload(set)
 	}
-	d.Stop()
-	return nil
 }
--- a/internal/coord/watch/follow.go
+++ b/internal/coord/watch/follow.go
@@ -96,6 +96,8 @@
 	Listed func(now clock.Milli, items []Item, wasAway bool)
 	// Changed is told of changes in their order.
 	Changed func(now clock.Milli, items []Item)
+	// Heard is told of each read that the store answered.
+	Heard func(now clock.Milli)
 	// Lost and Found are told when the store stops and starts to answer.
 	Lost  func(err error)
 	Found func()
@@ -153,7 +155,9 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	f.cfg.Listed(f.cfg.Clock.Now(), items, f.away)
+	now := f.cfg.Clock.Now()
+	f.cfg.Heard(now)
+	f.cfg.Listed(now, items, f.away)
 	f.succeed()
 	return revision, nil
 }
@@ -171,8 +175,10 @@
 			Err:  fmt.Errorf("revision fell from %d to %d", revision, page.Revision),
 		}
 	}
+	now := f.cfg.Clock.Now()
+	f.cfg.Heard(now)
 	if len(page.Items) > 0 {
-		f.cfg.Changed(f.cfg.Clock.Now(), page.Items)
+		f.cfg.Changed(now, page.Items)
 		select {
 		case <-ctx.Done():
 		case <-f.cfg.Clock.After(gather):
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,6 +77,13 @@
 				burnCommand(env),
 			},
 		},
+		{
+			title: "a look at the logs of the users' platform",
+			commands: []*Command{
+				traceCommand(env),
+				dayCommand(env),
+			},
+		},
 		{
 			title: "trials and the shell",
 			commands: []*Command{
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -14,6 +14,18 @@
 // leave withdraws two of the four payment targets.
 const leave = `"leaving":["payment-1","payment-2"],"regions"`
 
+// logOfCaller and logOfTarget are the lines of two hosts about one request and
+// its call.
+const (
+	logOfCaller = `{"ts":"2026-07-17T11:20:44.425Z","event":500,"host":"h1","id":"a","service":"s","route":"r","importance":"high","tried":["t1"],"end":"done","reason":"done call","status":500,"took":9}
+{"event":502,"lines":3}
+`
+	logOfTarget = `{"ts":"2026-07-17T11:20:44.424Z","event":500,"host":"h2","id":"a.b","service":"deep","depth":1,"importance":"high","tried":["t2"],"end":"refused","reason":"choice: none","status":503,"took":4}
+{"ts":"2026-07-17T11:20:44.423Z","event":501,"host":"h3","id":"a.b","target":"t2","depth":1,"outcome":"not-run","reason":"full","running":9,"limit":8,"status":503,"took":1}
+no line
+`
+)
+
 // run runs one command line in a directory with a few documents and registers.
 func run(t *testing.T, line string) (code int, out, stderr string) {
 	t.Helper()
@@ -34,6 +46,10 @@
 		"header.csv":  "service,owner\n",
 		"long.csv":    longRegister(),
 		"element.csv": `[1, {"instance": "x"}]`,
+		"host-1.log":  logOfCaller,
+		"host-2.log":  logOfTarget,
+		"side.json":   `{"name":"h1","centre":"c1","region":"r1","service":"s","address":"10.0.0"}`,
+		"record.json": `{"version":"seven","limits":{}}`,
 	}
 	t.Chdir(t.TempDir())
 	for name, text := range files {
@@ -104,6 +120,70 @@
 			code: 1,
 			out:  "none.json: open none.json",
 		},
+		"trace": {
+			line: "trace a host-1.log host-2.log",
+			code: 1,
+			out:  "a: no room at the target\n  t2: no room at the target (full), 9 running of 8, 1 targets tried\n  in its call a.b\n  on host h3\n",
+			err:  "left out 3 lines",
+		},
+		"trace tells of lines that are none": {
+			line: "trace a host-1.log host-2.log",
+			code: 1,
+			err:  "1 line could not be read",
+		},
+		"trace without the host of the call": {
+			line: "trace a host-1.log",
+			code: 1,
+			out:  "a: target failed",
+		},
+		"trace an unknown request": {
+			line: "trace zz host-1.log",
+			code: 1,
+			out:  "zz: not in these logs",
+		},
+		"trace in no log": {
+			line: "trace a",
+			code: 2,
+			err:  "no log file is named",
+		},
+		"trace nothing": {
+			line: "trace",
+			code: 2,
+			err:  "no request id is named",
+		},
+		"trace as JSON": {
+			line: "trace --json a host-1.log host-2.log",
+			code: 1,
+			out:  `"cause": "no room at the target"`,
+		},
+		"day": {
+			line: "day host-1.log host-2.log",
+			out:  "deep, high, calls of targets: about 0 served, 1 not\n        1  refused: choice: none\n",
+		},
+		"day draws a picture": {
+			line: "day host-1.log host-2.log",
+			out:  "11:20:44      1 ##################################################\n",
+		},
+		"day of a missing file": {
+			line: "day none.log",
+			code: 1,
+			err:  "none.log",
+		},
+		"check settings of the platform": {
+			line: "check --kind settings side.json",
+			code: 1,
+			out:  `side.json: settings: field address: "10.0.0" is not an IP`,
+		},
+		"check a record of the platform": {
+			line: "check --kind record record.json",
+			code: 1,
+			out:  "record.json: platform: ",
+		},
+		"check another kind": {
+			line: "check --kind recipe good.json",
+			code: 2,
+			err:  `there is no kind "recipe"`,
+		},
 		"check nothing": {
 			line: "check",
 			code: 2,
--- /dev/null
+++ b/internal/ctl/logs.go
@@ -0,0 +1,41 @@
+package ctl
+
+import (
+	"os"
+
+	"siskinswitch.example/siskin/internal/proto/story"
+)
+
+// readLogs calls each with the lines of log files and returns how many could
+// not be read. A file may be - for the standard input.
+func (e Env) readLogs(op string, files []string, each func(story.Line)) (int, error) {
+	if len(files) == 0 {
+		return 0, usageError(op, "no log file is named")
+	}
+	unread := 0
+	for _, name := range files {
+		n, err := e.readLog(op, name, each)
+		if err != nil {
+			return unread, err
+		}
+		unread += n
+	}
+	return unread, nil
+}
+
+func (e Env) readLog(op, name string, each func(story.Line)) (int, error) {
+	r := e.In
+	if name != stdio {
+		file, err := os.Open(name)
+		if err != nil {
+			return 0, fileError(op, err)
+		}
+		defer func() { _ = file.Close() }()
+		r = file
+	}
+	unread, err := story.Read(r, each)
+	if err != nil {
+		return unread, fileError(op, err)
+	}
+	return unread, nil
+}
--- a/internal/daemon/docs_test.go
+++ b/internal/daemon/docs_test.go
@@ -104,7 +104,7 @@
 // TestRunbookLinks holds the links into the runbook, and the events that it
 // names, against what there is.
 func TestRunbookLinks(t *testing.T) {
-	runbook, err := os.ReadFile("../../docs/OPERATE.md")
+	runbook, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -113,8 +113,8 @@
 		words := regexp.MustCompile(`[^a-z0-9 -]`).ReplaceAllString(strings.ToLower(m[1]), "")
 		anchors[strings.ReplaceAll(words, " ", "-")] = true
 	}
-	links := regexp.MustCompile(`\((?:OPERATE\.md)?#([a-z0-9-]+)\)`)
-	for _, page := range []string{"OPERATE.md", "EVENTS.md", "METRICS.md"} {
+	links := regexp.MustCompile(`\((?:OPERATIONS\.md)?#([a-z0-9-]+)\)`)
+	for _, page := range []string{"OPERATIONS.md", "EVENTS.md", "METRICS.md"} {
 		text, err := os.ReadFile("../../docs/" + page)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/proto/story/explain.go
@@ -0,0 +1,236 @@
+package story
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+// dot separates the parts of a call's id.
+const dot = "."
+
+// Verdict is where and why a request failed.
+type Verdict struct {
+	Cause Cause `json:"cause"`
+	// ID is the request or call in which it arose.
+	ID string `json:"id"`
+	// Service, Host and Target are where, as far as the logs tell.
+	Service string `json:"service,omitempty"`
+	Host    string `json:"host,omitempty"`
+	Target  string `json:"target,omitempty"`
+	// Words tells the same in a sentence.
+	Words string `json:"words"`
+}
+
+// Explanation is what logs tell of one request.
+type Explanation struct {
+	ID      string  `json:"id"`
+	Verdict Verdict `json:"verdict"`
+	// Lines are those of the request, of the requests above it and of its calls,
+	// in the order in which they began.
+	Lines []Line `json:"lines"`
+}
+
+// Collector keeps the lines that belong to one request.
+type Collector struct {
+	id    string
+	lines []Line
+}
+
+// NewCollector returns a collector for the request of an id.
+func NewCollector(id string) *Collector {
+	return &Collector{
+		id: id,
+	}
+}
+
+// Add takes one line of a log.
+func (c *Collector) Add(l Line) {
+	if l.ID == "" {
+		return
+	}
+	if l.ID == c.id || isBelow(l.ID, c.id) || isBelow(c.id, l.ID) {
+		c.lines = append(c.lines, l)
+	}
+}
+
+// isBelow reports whether id is that of a call, however deep, of a request.
+func isBelow(id, request string) bool { return strings.HasPrefix(id, request+dot) }
+
+// Explain returns what the lines tell.
+func (c *Collector) Explain() Explanation {
+	slices.SortStableFunc(c.lines, func(a, b Line) int {
+		return cmp.Or(a.Began().Compare(b.Began()), cmp.Compare(a.Depth, b.Depth), cmp.Compare(a.Event, b.Event))
+	})
+	return Explanation{
+		ID:      c.id,
+		Verdict: judge(c.lines, c.id),
+		Lines:   c.lines,
+	}
+}
+
+// judge finds why the request of an id ended as it did.
+func judge(lines []Line, id string) Verdict {
+	answer := last(lines, func(l *Line) bool { return l.ID == id && l.IsAnswer() })
+	attempt := last(lines, func(l *Line) bool { return l.ID == id && l.IsAttempt() })
+	switch {
+	case answer == nil && attempt == nil:
+		return Verdict{
+			Cause: Unknown,
+			ID:    id,
+			Words: "no line tells of it: it was served and not kept, its line was left out, or it came to other hosts",
+		}
+	case answer == nil:
+		return judgeAttempt(lines, attempt)
+	}
+	return judgeAnswer(lines, answer, attempt)
+}
+
+func judgeAnswer(lines []Line, answer, attempt *Line) Verdict {
+	v := Verdict{
+		ID:      answer.ID,
+		Service: answer.Service,
+		Host:    answer.Host,
+	}
+	if attempt != nil {
+		v.Target = attempt.Target
+	}
+	switch answer.End {
+	case "done":
+		if answer.Status < fasthttp.StatusInternalServerError {
+			v.Cause = Whole
+			v.Words = fmt.Sprintf("%s answered %d after %d ms", v.Target, answer.Status, answer.Took)
+			return v
+		}
+		return judgeFailure(lines, v, answer.Status)
+	case "unready":
+		v.Cause = Unready
+		v.Words = fmt.Sprintf("the daemon on %s took no requests: %s", v.Host, answer.Reason)
+	case "unrouted":
+		v.Cause = Unrouted
+		v.Words = fmt.Sprintf("no route of version %d matches it", answer.Version)
+	case "refused":
+		return judgeRefusal(answer, attempt, v)
+	case "late":
+		return judgeSlow(lines, v, answer.Took)
+	case "gone":
+		v.Cause = Left
+		v.Words = fmt.Sprintf("the caller hung up after %d ms", answer.Took)
+	case "lost":
+		v.Cause = Lost
+		v.Words = fmt.Sprintf("the answer was lost (%s); it may have run", answer.Reason)
+		if attempt != nil {
+			v.Host = attempt.Host
+			v.Words = fmt.Sprintf("the answer of %s was lost (%s); it may have run", attempt.Target, attempt.Reason)
+		}
+	default:
+		v.Cause = Unknown
+		v.Words = fmt.Sprintf("it ended with %q", answer.End)
+	}
+	return v
+}
+
+// judgeAttempt judges by an attempt alone, for want of the line of the answer.
+func judgeAttempt(lines []Line, attempt *Line) Verdict {
+	v := Verdict{
+		ID:     attempt.ID,
+		Host:   attempt.Host,
+		Target: attempt.Target,
+	}
+	switch {
+	case attempt.Outcome == "not-run":
+		return judgeRefusal(attempt, attempt, v)
+	case attempt.Outcome == "done" && attempt.Status < fasthttp.StatusInternalServerError:
+		v.Cause = Whole
+		v.Words = fmt.Sprintf("%s answered %d after %d ms", v.Target, attempt.Status, attempt.Took)
+	case attempt.Outcome == "done":
+		return judgeFailure(lines, v, attempt.Status)
+	case attempt.Reason == "timeout", attempt.Reason == "canceled":
+		return judgeSlow(lines, v, attempt.Took)
+	default:
+		v.Cause = Lost
+		v.Words = fmt.Sprintf("the answer of %s was lost (%s); it may have run", v.Target, attempt.Reason)
+	}
+	return v
+}
+
+// judgeFailure judges a failure that a target answered with: that of a call of
+// its own if one failed.
+func judgeFailure(lines []Line, v Verdict, status int) Verdict {
+	call := last(lines, func(l *Line) bool { return isCallOf(l.ID, v.ID) && l.IsAnswer() && isFailed(l) })
+	if call != nil {
+		return judge(lines, call.ID)
+	}
+	v.Cause = Failed
+	v.Words = fmt.Sprintf("%s answered %d by itself", v.Target, status)
+	return v
+}
+
+// judgeSlow judges a request that ended for want of time while it ran: by a
+// call that failed or took most of the time, if there is one.
+func judgeSlow(lines []Line, v Verdict, took int64) Verdict {
+	call := last(lines, func(l *Line) bool {
+		return isCallOf(l.ID, v.ID) && (l.IsAnswer() || l.IsAttempt()) && (isFailed(l) || l.Took*2 > took)
+	})
+	if call != nil {
+		if found := judge(lines, call.ID); found.Cause != Whole && found.Cause != Left {
+			return found
+		}
+		v.Service = call.Service
+	}
+	v.Cause = Slow
+	v.Words = fmt.Sprintf("%s had not answered after %d ms", v.Target, took)
+	if call != nil {
+		v.Words += fmt.Sprintf("; its call %s took %d ms of them", call.ID, call.Took)
+	}
+	return v
+}
+
+// judgeRefusal judges a request that no target ran, by the last attempt.
+func judgeRefusal(answer, attempt *Line, v Verdict) Verdict {
+	reason := answer.Reason
+	if attempt != nil {
+		reason = attempt.Reason
+		v.Host = attempt.Host
+		v.Target = attempt.Target
+	}
+	if at := strings.LastIndexByte(reason, ' '); at >= 0 && strings.HasPrefix(reason, "not-run ") {
+		reason = reason[at+1:]
+	}
+	cause, ok := reasons[reason]
+	switch {
+	case ok && attempt != nil:
+		v.Cause = cause
+		v.Words = fmt.Sprintf("%s: %s (%s), %d running of %d, %d targets tried", v.Target, cause, reason,
+			attempt.Running, attempt.Limit, max(len(answer.Tried), 1))
+	case ok:
+		v.Cause = cause
+		v.Words = fmt.Sprintf("%s (%s), %d targets tried", cause, reason, len(answer.Tried))
+	default:
+		v.Cause = NoTarget
+		v.Words = fmt.Sprintf("no target of %s was asked: %s", v.Service, reason)
+	}
+	return v
+}
+
+// isCallOf reports whether id is that of a direct call of a request.
+func isCallOf(id, request string) bool {
+	rest, ok := strings.CutPrefix(id, request+dot)
+	return ok && !strings.Contains(rest, dot)
+}
+
+// isFailed reports whether a line tells of a failure.
+func isFailed(l *Line) bool { return l.Status >= fasthttp.StatusInternalServerError }
+
+// last returns the last line that fits, nil if there is none.
+func last(lines []Line, fits func(*Line) bool) *Line {
+	for i := len(lines) - 1; i >= 0; i-- {
+		if fits(&lines[i]) {
+			return &lines[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proto/story/story_test.go
@@ -0,0 +1,176 @@
+package story
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// stamp begins each line of the tests.
+const stamp = `{"ts":"2026-07-17T11:20:44.425Z",`
+
+func answer(rest string) string {
+	return stamp + `"event":500,"host":"h1","service":"s",` + rest + "}\n"
+}
+
+func attempt(rest string) string {
+	return stamp + `"event":501,"host":"h2","target":"t1",` + rest + "}\n"
+}
+
+func TestExplain(t *testing.T) {
+	tests := map[string]struct {
+		log  string
+		want Cause
+		// at is the request or call in which the cause arose.
+		at string
+	}{
+		"nothing is known": {
+			want: Unknown,
+			at:   "a",
+		},
+		"served": {
+			log:  answer(`"id":"a","end":"done","status":200`) + attempt(`"id":"a","outcome":"done","reason":"run","status":200`),
+			want: Whole,
+			at:   "a",
+		},
+		"the line of the answer is missing": {
+			log:  attempt(`"id":"a","outcome":"not-run","reason":"full","status":503`),
+			want: NoRoom,
+			at:   "a",
+		},
+		"another request's lines": {
+			log:  answer(`"id":"ab","end":"lost","status":502`),
+			want: Unknown,
+			at:   "a",
+		},
+		"a question is no attempt": {
+			log: answer(`"id":"a","end":"refused","reason":"not-run unreached","status":503`) +
+				attempt(`"id":"a","ask":true,"outcome":"not-run","reason":"full"`),
+			want: Unreached,
+			at:   "a",
+		},
+		"a call two levels down had no room": {
+			log: answer(`"id":"a","end":"done","reason":"done call","status":500`) +
+				answer(`"id":"a.b","depth":1,"end":"done","reason":"done call","status":500`) +
+				answer(`"id":"a.b.c","depth":2,"end":"refused","reason":"choice: none","status":503`) +
+				attempt(`"id":"a.b.c","depth":2,"outcome":"not-run","reason":"full","status":503`),
+			want: NoRoom,
+			at:   "a.b.c",
+		},
+		"a target failed by itself": {
+			log:  answer(`"id":"a","end":"done","reason":"done run","status":500`),
+			want: Failed,
+			at:   "a",
+		},
+		"a call took the time": {
+			log: answer(`"id":"a","end":"late","reason":"unknown timeout","status":504,"took":1000`) +
+				answer(`"id":"a.b","depth":1,"end":"late","reason":"unknown timeout","status":504,"took":900`),
+			want: Slow,
+			at:   "a.b",
+		},
+		"the caller left, and so its call was given up": {
+			log: answer(`"id":"a","end":"late","reason":"unknown timeout","status":504,"took":1000`) +
+				answer(`"id":"a.b","depth":1,"end":"gone","reason":"unknown canceled","status":504,"took":900`),
+			want: Slow,
+			at:   "a",
+		},
+		"no route": {
+			log:  answer(`"id":"a","end":"unrouted","status":404`),
+			want: Unrouted,
+			at:   "a",
+		},
+		"no configuration": {
+			log:  answer(`"id":"a","end":"unready","status":503`),
+			want: Unready,
+			at:   "a",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := NewCollector("a")
+			if _, err := Read(strings.NewReader(tt.log), c.Add); err != nil {
+				t.Fatal(err)
+			}
+			got := c.Explain().Verdict
+			if got.Cause != tt.want || got.ID != tt.at || got.Words == "" {
+				t.Errorf("verdict = %+v, want %s in %s", got, tt.want, tt.at)
+			}
+		})
+	}
+}
+
+func TestReadPassesOverWhatIsNoLine(t *testing.T) {
+	log := "  11.5 host-3 " + answer(`"id":"a","end":"done","status":200`) +
+		"panic: no line\n" +
+		`{"ts":"yesterday","event":500}` + "\n" +
+		strings.Repeat("x", 2*longestLine) + "\n" +
+		`{"event":502,"lines":7}` + "\n\n" +
+		strings.TrimSuffix(answer(`"id":"b","end":"done","status":200`), "\n")
+	var got []Line
+	unread, err := Read(strings.NewReader(log), func(l Line) { got = append(got, l) })
+	if err != nil || unread != 3 || len(got) != 3 {
+		t.Fatalf("%d lines, %d unread, %v", len(got), unread, err)
+	}
+	if got[0].Host != "h1" || got[1].Lines != 7 || got[2].ID != "b" {
+		t.Errorf("lines = %+v", got)
+	}
+}
+
+func TestDay(t *testing.T) {
+	d := NewDay()
+	log := answer(`"id":"a","end":"done","status":200,"sample":64,"importance":"high"`) +
+		answer(`"id":"b","end":"refused","reason":"full","status":503,"sample":1,"importance":"high"`) +
+		answer(`"id":"b.c","end":"late","reason":"slow","status":504,"sample":1,"importance":"high","depth":1`) +
+		stamp + `"event":205,"msg":"store could not be read"}` + "\n" +
+		`{"event":502,"lines":7}` + "\n"
+	if _, err := Read(strings.NewReader(log), d.Add); err != nil {
+		t.Fatal(err)
+	}
+	groups := d.Groups()
+	if len(groups) != 2 || d.LeftOut != 7 {
+		t.Fatalf("%d groups, %d lines left out", len(groups), d.LeftOut)
+	}
+	for _, g := range groups {
+		if !g.IsCall && (g.Whole != 64 || g.Failed != 1 || g.Most()[0].What != "refused: full") {
+			t.Errorf("group = %+v", g)
+		}
+	}
+	if s := d.Slots(); len(s) != 1 || s[0].Failed != 1 || s[0].Whole != 64 {
+		t.Errorf("seconds = %+v", s)
+	}
+	if e := d.Events(); len(e) != 1 || e[0].N != 1 {
+		t.Errorf("events = %+v", e)
+	}
+}
+
+// TestExplainEndsOnAnyLines holds that odd logs neither hang nor break it.
+func TestExplainEndsOnAnyLines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCollector("a")
+		for range rapid.IntRange(0, 20).Draw(t, "lines") {
+			c.Add(Line{
+				ID:      rapid.SampledFrom([]string{"a", "a.b", "a.b.c", "a.d", "a.", "b"}).Draw(t, "id"),
+				Event:   rapid.SampledFrom([]int{500, 501}).Draw(t, "event"),
+				End:     rapid.SampledFrom([]string{"done", "late", "refused", "lost", ""}).Draw(t, "end"),
+				Outcome: rapid.SampledFrom([]string{"done", "not-run", "unknown"}).Draw(t, "outcome"),
+				Reason:  rapid.SampledFrom([]string{"", "full", "call", "not-run late"}).Draw(t, "reason"),
+				Status:  rapid.SampledFrom([]int{0, 200, 500, 503}).Draw(t, "status"),
+				Took:    rapid.Int64Range(0, 2000).Draw(t, "took"),
+			})
+		}
+		if v := c.Explain().Verdict; v.Cause == "" || v.Words == "" {
+			t.Errorf("verdict = %+v", v)
+		}
+	})
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(answer(`"id":"a"`))
+	f.Add("{}\n{")
+	f.Fuzz(func(t *testing.T, log string) {
+		if _, err := Read(strings.NewReader(log), func(Line) {}); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/side/lines.go
+++ b/internal/side/lines.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -23,6 +26,13 @@
 	linesSum = clock.Second
 )
 
+// NewLogger returns a logger that writes one line of JSON for each event.
+func NewLogger(out zapcore.WriteSyncer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel))
+}
+
 // Lines passes log lines on without ever holding up who writes them. Lines
 // beyond the rate, and those that a slow reader leaves no room for, are left
 // out; a line of their own tells how many.
--- a/internal/side/meter.go
+++ b/internal/side/meter.go
@@ -10,6 +10,8 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/trans/flow"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -17,10 +19,28 @@
 const (
 	// reportEvery is the time between two reports of the metrics scope.
 	reportEvery = time.Second
+	// noAge is what an age shows of which nothing is known.
+	noAge = -1
 	// metricsRead bounds the time in which a scrape's head must be complete.
 	metricsRead = 5 * time.Second
 )
 
+// latencies are the bounds of the histograms of times.
+var latencies = tally.DurationBuckets{
+	time.Millisecond,
+	2 * time.Millisecond,
+	5 * time.Millisecond,
+	10 * time.Millisecond,
+	20 * time.Millisecond,
+	50 * time.Millisecond,
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	500 * time.Millisecond,
+	time.Second,
+	2 * time.Second,
+	5 * time.Second,
+}
+
 // meter holds the daemon's metrics.
 type meter struct {
 	scope    tally.Scope
@@ -64,8 +84,16 @@
 	attempts := m.scope.Counter("attempts")
 	repeats := m.scope.Counter("repeats")
 	opened := m.scope.Counter("target_connections")
+	answer := m.scope.Histogram("answer_time", latencies)
+	wait := m.scope.Histogram("slot_wait", latencies)
+	work := m.scope.Histogram("target_time", latencies)
 	return flow.Counts{
-		Answered: func(_, end string, _ clock.Milli) { m.count("answers", "end", end) },
+		Answered: func(end string, took clock.Milli) {
+			m.count("answers", "end", end)
+			answer.RecordDuration(took.Duration())
+		},
+		Waited:   func(took clock.Milli) { wait.RecordDuration(took.Duration()) },
+		Worked:   func(took clock.Milli) { work.RecordDuration(took.Duration()) },
 		Attempts: func() { attempts.Inc(1) },
 		Repeats:  func() { repeats.Inc(1) },
 		Refused:  func(reason string) { m.count("refusals", "reason", reason) },
@@ -73,6 +101,39 @@
 	}
 }
 
+// gauges shows the present state. age is the time since the store answered
+// last, negative if it never has.
+func (m *meter) gauges(st admit.Stats, v *model.View, age clock.Milli) {
+	running, queued := 0, 0
+	for _, lane := range st.Lanes {
+		running += lane.Running
+		queued += lane.Queued
+	}
+	overload := 0
+	if st.Overload {
+		overload = 1
+	}
+	version := uint64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	seconds := float64(noAge)
+	if age >= 0 {
+		seconds = float64(age) / float64(clock.Second)
+	}
+	for name, value := range map[string]float64{
+		"running":               float64(running),
+		"queued":                float64(queued),
+		"limit":                 float64(st.Limit),
+		"overload":              float64(overload),
+		"version":               float64(version),
+		"targets":               float64(len(v.Fleet.Targets)),
+		"confirmed_age_seconds": seconds,
+	} {
+		m.scope.Gauge(name).Update(value)
+	}
+}
+
 // serve answers scrapes until l is closed.
 func (m *meter) serve(l net.Listener) {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/internal/side/meter_test.go
@@ -0,0 +1,81 @@
+package side
+
+import (
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+// TestMetricsPage holds the table of docs/OPERATIONS.md against what a daemon
+// serves once each of its metrics has been used.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := regexp.MustCompile(`(?s)## Metrics on the platform.*?\n## `).Find(page)
+	documented := make(map[string]bool)
+	for _, row := range regexp.MustCompile(`(?m)^\| ([^|]*) \|`).FindAllSubmatch(section, -1) {
+		for _, name := range regexp.MustCompile("siskin_[a-z_]+").FindAllString(string(row[1]), -1) {
+			documented[name] = true
+		}
+	}
+	m := newMeter()
+	counts := m.counts()
+	counts.Answered("done", clock.Second)
+	counts.Attempts()
+	counts.Repeats()
+	counts.Refused("full")
+	counts.Opened()
+	counts.Waited(clock.Second)
+	counts.Worked(clock.Second)
+	m.gauges(admit.Stats{}, &model.View{}, noAge)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go m.serve(l)
+	want := slices.Sorted(maps.Keys(documented))
+	var got []string
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		got = served(t, "http://"+l.Addr().String()+"/metrics")
+		if slices.Equal(got, want) {
+			return
+		}
+	}
+	t.Errorf("a daemon serves\n%v, the page lists\n%v", got, want)
+}
+
+// served returns the names of the metrics that an address serves.
+func served(t *testing.T, url string) []string {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := make(map[string]bool)
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE (siskin_[a-z_]+) `).FindAllSubmatch(body, -1) {
+		names[string(m[1])] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
--- /dev/null
+++ b/internal/side/reload.go
@@ -0,0 +1,47 @@
+package side
+
+import (
+	"reflect"
+
+	"go.uber.org/zap"
+
+	"siskinswitch.example/siskin/internal/proto/event"
+)
+
+// Reload takes in settings that may have changed. The grace of a stop and the
+// memory limit hold from then on; all else needs a restart. The log says which
+// fields changed and which of them wait for one. It must not be called together
+// with Stop.
+func (d *Daemon) Reload(set Settings) {
+	d.unread = ""
+	changed := d.read.changes(&set)
+	d.read = set
+	if len(changed) == 0 {
+		return
+	}
+	d.set.Grace = set.Grace
+	d.set.Memory = set.Memory
+	limitMemory(set.Memory)
+	event.Info(d.log, event.Reloaded, zap.Strings("changed", changed), zap.Strings("waiting", d.set.changes(&set)))
+}
+
+// NotReloaded records that changed settings could not be read. The present ones
+// stay in force. The same fault is told once.
+func (d *Daemon) NotReloaded(err error) {
+	if text := err.Error(); text != d.unread {
+		d.unread = text
+		event.Warn(d.log, event.Unreloaded, zap.Error(err))
+	}
+}
+
+// changes returns the names of the fields in which two settings differ.
+func (s *Settings) changes(other *Settings) []string {
+	var names []string
+	a, b := reflect.ValueOf(s).Elem(), reflect.ValueOf(other).Elem()
+	for i := range a.NumField() {
+		if !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			names = append(names, a.Type().Field(i).Tag.Get("json"))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/side/reload_test.go
@@ -0,0 +1,149 @@
+package side
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap/zapcore"
+
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+func usual() Settings {
+	return Settings{
+		Name:     "h1",
+		Address:  "127.0.0.1",
+		Centre:   "c1",
+		Region:   "r1",
+		Centres:  map[string]string{"c1": "r1"},
+		Service:  "stock",
+		Target:   "127.0.0.1:1",
+		Outbound: "127.0.0.1:2",
+		Inbound:  "127.0.0.1:3",
+		Ready:    "127.0.0.1:4",
+		Metrics:  5,
+		Store:    "127.0.0.1:6",
+		Memory:   100,
+		Drain:    2500,
+		Grace:    6,
+		Ratio:    0.2,
+		Window:   10,
+		Slack:    49,
+	}
+}
+
+func TestReloadTellsWhatChanged(t *testing.T) {
+	tests := map[string]struct {
+		change func(s *Settings)
+		// want is in the line, none if it is empty.
+		want  string
+		grace int
+	}{
+		"nothing": {
+			change: func(*Settings) {},
+			grace:  6,
+		},
+		"the grace, which holds at once": {
+			change: func(s *Settings) { s.Grace = 9 },
+			want:   `"changed":["grace"],"waiting":[]`,
+			grace:  9,
+		},
+		"an address, which waits for a restart": {
+			change: func(s *Settings) { s.Inbound, s.Memory = "127.0.0.1:9", 50 },
+			want:   `"changed":["inbound","memory"],"waiting":["inbound"]`,
+			grace:  6,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log buffer
+			d, err := New(usual(), clock.System(), NewLogger(zapcore.AddSync(&log)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			set := usual()
+			tt.change(&set)
+			d.Reload(set)
+			d.Reload(set)
+			lines := strings.Count(log.String(), "\n")
+			if want := min(len(tt.want), 1); lines != want || !strings.Contains(log.String(), tt.want) {
+				t.Errorf("log = %s, want one line at most with %s", log.String(), tt.want)
+			}
+			if d.set.Grace != tt.grace {
+				t.Errorf("grace = %d, want %d", d.set.Grace, tt.grace)
+			}
+		})
+	}
+}
+
+func TestUnreadableSettingsAreToldOnce(t *testing.T) {
+	var log buffer
+	d, err := New(usual(), clock.System(), NewLogger(zapcore.AddSync(&log)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		d.NotReloaded(errors.New("settings: field grace is missing"))
+	}
+	if n := strings.Count(log.String(), "\n"); n != 1 {
+		t.Errorf("%d lines, want 1: %s", n, log.String())
+	}
+}
+
+func TestReadSettingsNamesTheFault(t *testing.T) {
+	tests := map[string]struct {
+		change func(s *Settings)
+		want   string
+	}{
+		"good": {
+			change: func(*Settings) {},
+		},
+		"no name": {
+			change: func(s *Settings) { s.Name = "" },
+			want:   "field name is missing",
+		},
+		"no IP": {
+			change: func(s *Settings) { s.Address = "host" },
+			want:   "field address",
+		},
+		"no port": {
+			change: func(s *Settings) { s.Store = "127.0.0.1" },
+			want:   "field store",
+		},
+		"a centre elsewhere": {
+			change: func(s *Settings) { s.Region = "r2" },
+			want:   "field centres",
+		},
+		"no grace": {
+			change: func(s *Settings) { s.Grace = 0 },
+			want:   "field grace",
+		},
+		"no window": {
+			change: func(s *Settings) { s.Window = 0 },
+			want:   "field window",
+		},
+		"a negative ratio": {
+			change: func(s *Settings) { s.Ratio = -1 },
+			want:   "field ratio",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			set := usual()
+			tt.change(&set)
+			body, err := json.Marshal(set)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = ReadSettings(strings.NewReader(string(body)))
+			switch {
+			case tt.want == "" && err != nil:
+				t.Error(err)
+			case tt.want != "" && (err == nil || !strings.Contains(err.Error(), tt.want)):
+				t.Errorf("error = %v, want %s", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/side/settings.go
+++ b/internal/side/settings.go
@@ -118,11 +118,44 @@
 	if s.Metrics < 1 || s.Metrics > 65_535 {
 		return fmt.Errorf("settings: field metrics: %d is not a port", s.Metrics)
 	}
-	if s.Memory < 1 || s.Grace < 1 || s.Drain < 1 || s.Window < 1 {
-		return fmt.Errorf("settings: fields memory, grace, drain and window must be above 0")
+	numbers := []struct {
+		name  string
+		value float64
+		least float64
+	}{
+		{
+			name:  "memory",
+			value: float64(s.Memory),
+			least: 1,
+		},
+		{
+			name:  "drain",
+			value: float64(s.Drain),
+			least: 1,
+		},
+		{
+			name:  "grace",
+			value: float64(s.Grace),
+			least: 1,
+		},
+		{
+			name:  "window",
+			value: float64(s.Window),
+			least: 1,
+		},
+		{
+			name:  "ratio",
+			value: s.Ratio,
+		},
+		{
+			name:  "slack",
+			value: float64(s.Slack),
+		},
 	}
-	if s.Ratio < 0 || s.Slack < 0 {
-		return fmt.Errorf("settings: fields ratio and slack must not be below 0")
+	for _, n := range numbers {
+		if n.value < n.least {
+			return fmt.Errorf("settings: field %s: %v is below %v", n.name, n.value, n.least)
+		}
 	}
 	if s.Centres[s.Centre] != s.Region {
 		return fmt.Errorf("settings: field centres: %s is not in %s", s.Centre, s.Region)
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -8,7 +8,6 @@
 	"math"
 	mrand "math/rand/v2"
 	"net"
-	"reflect"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -32,6 +31,8 @@
 const (
 	// tickEvery is the time between two ticks of the control goroutine.
 	tickEvery = 50 * clock.Millisecond
+	// gaugeEvery is the time between two updates of the gauges.
+	gaugeEvery = clock.Second
 	// memoryShare is the part of the memory limit, in percent, from which the
 	// collector works harder.
 	memoryShare = 60
@@ -67,8 +68,14 @@
 	callers  *xchg.Server
 	peers    *xchg.Server
 	stopping atomic.Bool
-	cancel   context.CancelFunc
-	listens  []*accept.Listener
+	// read is the settings as they were read last, set those in force.
+	read Settings
+	// unread is what was wrong with changed settings last, empty if nothing.
+	unread string
+	// heard is when the store answered last, 0 if it never has.
+	heard   atomic.Int64
+	cancel  context.CancelFunc
+	listens []*accept.Listener
 }
 
 // New returns a daemon that does nothing yet.
@@ -81,6 +88,7 @@
 	}
 	d := &Daemon{
 		set:   set,
+		read:  set,
 		clock: c,
 		log:   log,
 		meter: newMeter(),
@@ -223,6 +231,7 @@
 		Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed:  d.beliefs.list,
 		Changed: d.beliefs.change,
+		Heard:   func(now clock.Milli) { d.heard.Store(int64(now)) },
 		Lost:    func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
 		Found:   func() { event.Info(d.log, event.StoreUp) },
 	})
@@ -231,16 +240,30 @@
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery.Duration())
 	defer ticker.Stop()
+	shown := d.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.beliefs.forget(d.clock.Now())
-			d.inbound.Tick()
-			d.outbound.Tick()
 		}
+		now := d.clock.Now()
+		d.beliefs.forget(now)
+		d.inbound.Tick()
+		d.outbound.Tick()
+		if now-shown >= gaugeEvery {
+			shown = now
+			d.showGauges(now)
+		}
+	}
+}
+
+func (d *Daemon) showGauges(now clock.Milli) {
+	age := clock.Milli(noAge)
+	if heard := d.heard.Load(); heard > 0 {
+		age = now - clock.Milli(heard)
 	}
+	d.meter.gauges(d.inbound.Stats(), d.beliefs.view.Load(), age)
 }
 
 // serveReady answers the platform's readiness check.
@@ -320,16 +343,6 @@
 	}
 }
 
-// Reload takes in changed settings: the grace of a stop and the memory limit
-// hold from now on. What else has changed needs a restart, and the log says so.
-// It must not be called together with Stop.
-func (d *Daemon) Reload(set Settings) {
-	d.set.Grace = set.Grace
-	d.set.Memory = set.Memory
-	limitMemory(set.Memory)
-	event.Info(d.log, event.Reloaded, zap.Bool("restart", !reflect.DeepEqual(set, d.set)))
-}
-
 // limitMemory makes the collector work harder near the limit of the process.
 func limitMemory(megabytes int) {
 	debug.SetMemoryLimit(int64(megabytes) << 20 * memoryShare / 100)
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -26,6 +26,10 @@
 	endLost    = "lost"
 	endLate    = "late"
 	endGone    = "gone"
+	// endUnready and endUnrouted are of requests for which no target is chosen:
+	// the daemon has no configuration yet or stops, or no route matches.
+	endUnready  = "unready"
+	endUnrouted = "unrouted"
 )
 
 const (
--- a/internal/trans/flow/entry.go
+++ b/internal/trans/flow/entry.go
@@ -42,6 +42,7 @@
 	case admit.Run:
 	}
 	began := n.cfg.Clock.Now()
+	n.cfg.Counts.Waited(began - now)
 	took := clock.Milli(-1)
 	defer func() { gate.Done(work, took) }()
 	if ctx.Err() != nil {
@@ -56,6 +57,7 @@
 		a, word = n.send(ctx, r, hop, deadline)
 	}
 	n.record(hop, a, word)
+	n.cfg.Counts.Worked(n.cfg.Clock.Now() - began)
 	if word.Outcome == leg.Done {
 		took = n.cfg.Clock.Now() - began
 	}
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -47,8 +47,12 @@
 
 // Counts are the counters of both sides. Each function takes one event.
 type Counts struct {
-	// Answered counts answers to callers by route and how they ended.
-	Answered func(route, end string, took clock.Milli)
+	// Answered counts answers to callers by how they ended.
+	Answered func(end string, took clock.Milli)
+	// Waited and Worked record how long an attempt waited for a slot, and how
+	// long the target had it.
+	Waited func(took clock.Milli)
+	Worked func(took clock.Milli)
 	// Attempts counts what is sent to a daemon beside a target.
 	Attempts func()
 	// Repeats counts attempts that the budget was charged for.
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -223,13 +223,20 @@
 	return n.cfg.plain(id, fasthttp.StatusBadGateway, "unknown"), n.word(leg.Unknown, v.Reason.String())
 }
 
+// Stats returns the state of the gate in front of the target.
+func (n *Inbound) Stats() admit.Stats {
+	n.mu.Lock()
+	gate := n.gate
+	n.mu.Unlock()
+	return gate.Stats()
+}
+
 // word tells the state of this side with an outcome.
 func (n *Inbound) word(outcome leg.Outcome, reason string) leg.Word {
 	n.mu.Lock()
-	gate := n.gate
 	leaving := n.draining || n.left > 0
 	n.mu.Unlock()
-	st := gate.Stats()
+	st := n.Stats()
 	running := 0
 	for _, lane := range st.Lanes {
 		running += lane.Running + lane.Queued
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -116,28 +117,23 @@
 	id := r.Get(o.cfg.Headers.ID)
 	v := o.cfg.View()
 	if v.Config == nil || !v.Fleet.Known {
-		return xchg.Reply{
-			Answer: o.cfg.refusal(id, "no configuration yet", unreadyWait),
-		}
+		return o.turnAway(r, v, endUnready, o.cfg.refusal(id, "no configuration yet", unreadyWait))
 	}
 	route, ok := v.Config.Match(r.Host, r.Path())
 	if !ok {
-		return xchg.Reply{
-			Answer: o.cfg.plain(id, fasthttp.StatusNotFound, "no route"),
-		}
+		return o.turnAway(r, v, endUnrouted, o.cfg.plain(id, fasthttp.StatusNotFound, "no route"))
 	}
 	c := o.newCall(r, id, route, v)
 	if end := clock.Milli(o.closing.Load()); end > 0 && c.deadline > end {
-		return xchg.Reply{
-			Answer: o.cfg.refusal(id, "the daemon stops", closingWait),
-			Close:  true,
-		}
+		reply := o.turnAway(r, v, endUnready, o.cfg.refusal(id, "the daemon stops", closingWait))
+		reply.Close = true
+		return reply
 	}
 	ctx, cancel := xchg.Until(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
 	a, end := o.run(ctx, c)
 	took := o.cfg.Clock.Now() - r.Arrived
-	o.cfg.Counts.Answered(route.Name, end, took)
+	o.cfg.Counts.Answered(end, took)
 	if c.parent != nil && a.Status >= fasthttp.StatusInternalServerError {
 		c.parent.failed.Store(true)
 	}
@@ -147,6 +143,26 @@
 	}
 }
 
+// turnAway answers a request that no target is chosen for, and writes its line.
+func (o *Outbound) turnAway(r *xchg.Request, v *model.View, end string, a guard.Answer) xchg.Reply {
+	took := o.cfg.Clock.Now() - r.Arrived
+	o.cfg.Counts.Answered(end, took)
+	version := uint64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	event.Info(o.cfg.Log, event.Answered,
+		zap.String("id", r.Get(o.cfg.Headers.ID)),
+		zap.Uint64("version", version),
+		zap.String("end", end),
+		zap.ByteString("reason", bytes.TrimSpace(a.Body)),
+		zap.Int("status", a.Status),
+		zap.Int64("took", int64(took)))
+	return xchg.Reply{
+		Answer: a,
+	}
+}
+
 // log writes one line about a request. Of whole ones, only those of a sample of
 // roots are kept.
 func (o *Outbound) log(c *call, a *guard.Answer, end string, took clock.Milli) {
