--- a/internal/fakes/fault.go
+++ b/internal/fakes/fault.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"siskinswitch.example/siskin/internal/trans/pool"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -63,7 +63,7 @@
 
 // fall blocks until the peer or the target goes, then drops the connection.
 func (t *Target) fall(ctx *fasthttp.RequestCtx) {
-	for !pool.IsHungUp(ctx.Conn()) {
+	for sock.Look(ctx.Conn()) != sock.Ended {
 		select {
 		case <-t.cfg.Clock.After(hangUpCheck):
 		case <-t.quit:
--- a/internal/fakes/stale.go
+++ b/internal/fakes/stale.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"siskinswitch.example/siskin/internal/trans/pool"
+	"siskinswitch.example/siskin/internal/trans/sock"
 )
 
 // dialWait bounds the making of a connection for a deeper call.
@@ -35,7 +35,7 @@
 
 // Write implements net.Conn.
 func (c *liveConn) Write(b []byte) (int, error) {
-	if c.used && pool.IsHungUp(c.Conn) {
+	if c.used && sock.Look(c.Conn) == sock.Ended {
 		return 0, errStale
 	}
 	c.used = false
--- a/internal/fakes/work.go
+++ b/internal/fakes/work.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"siskinswitch.example/siskin/internal/trans/pool"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/pkg/header"
 )
@@ -193,7 +193,7 @@
 			return cancelled
 		case <-t.cfg.Clock.After(step):
 		}
-		if !t.cfg.IgnoreHangUp && step == hangUpCheck && pool.IsHungUp(x.ctx.Conn()) {
+		if !t.cfg.IgnoreHangUp && step == hangUpCheck && sock.Look(x.ctx.Conn()) == sock.Ended {
 			return cancelled
 		}
 	}
--- a/internal/trans/pool/pool.go
+++ b/internal/trans/pool/pool.go
@@ -20,6 +20,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -36,6 +37,10 @@
 	Cut
 )
 
+// errStale means that the peer closed a kept connection before anything of the
+// request was written to it.
+var errStale = errors.New("the kept connection was closed by its peer")
+
 // Error is the error type of the package.
 type Error struct {
 	Op   string
@@ -215,7 +220,7 @@
 }
 
 func (c *wholeConn) Write(b []byte) (int, error) {
-	if c.inside && IsHungUp(c.Conn) {
+	if c.inside && sock.Look(c.Conn) == sock.Ended {
 		return 0, errStale
 	}
 	c.inside = false
--- /dev/null
+++ b/internal/trans/sock/sock_test.go
@@ -0,0 +1,79 @@
+package sock
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+func TestLook(t *testing.T) {
+	tests := map[string]struct {
+		act  func(t *testing.T, near, far net.Conn)
+		want State
+	}{
+		"nothing happened": {
+			act:  func(*testing.T, net.Conn, net.Conn) {},
+			want: Open,
+		},
+		"bytes came": {
+			act: func(t *testing.T, _, far net.Conn) {
+				t.Helper()
+				if _, err := far.Write([]byte("x")); err != nil {
+					t.Fatal(err)
+				}
+			},
+			want: Unread,
+		},
+		"the peer closed it": {
+			act:  func(_ *testing.T, _, far net.Conn) { _ = far.Close() },
+			want: Ended,
+		},
+		"closed here": {
+			act:  func(_ *testing.T, near, _ net.Conn) { _ = near.Close() },
+			want: Ended,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			tt.act(t, near, far)
+			got := Look(near)
+			for end := time.Now().Add(5 * time.Second); got != tt.want && time.Now().Before(end); got = Look(near) {
+				time.Sleep(time.Millisecond)
+			}
+			if got != tt.want {
+				t.Errorf("Look = %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestLookWithoutSocket(t *testing.T) {
+	near, far := net.Pipe()
+	_ = far.Close()
+	if got := Look(near); got != Open {
+		t.Errorf("Look = %d, want %d", got, Open)
+	}
+}
+
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	near, err = net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
--- a/internal/trans/xchg/client.go
+++ b/internal/trans/xchg/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -311,23 +312,7 @@
 
 // isUnusable reports whether the other end has closed the connection or sent
 // bytes that belong to no request.
-func (n *conn) isUnusable() bool {
-	socket, ok := n.raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-	})
-	return err != nil || !quiet
-}
+func (n *conn) isUnusable() bool { return sock.Look(n.raw) != sock.Open }
 
 // abort ends a running exchange from another goroutine.
 func (n *conn) abort() { _ = n.raw.Close() }
