Take back the second of calm before a planned stop

Change: 100 ms, so that some requests are under way. A connection that could not be made counts as such also where its dial was reset, and only then. Ruled out: a cut of work.

--- a/internal/procs/callers.go
+++ b/internal/procs/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -190,11 +191,21 @@
 }
 
 func failed(w Word, err error) Word {
-	w.Refused = errors.Is(err, syscall.ECONNREFUSED)
+	w.Refused = isUnconnected(err)
 	w.Detail = fmt.Sprintf("%s, %v", w.Detail, err)
 	return w
 }
 
+// isUnconnected reports whether no connection could be made. A listening socket
+// that is being closed refuses some and resets others that are half made.
+func isUnconnected(err error) bool {
+	var dial *net.OpError
+	if !errors.As(err, &dial) || dial.Op != "dial" {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // withReply returns w with an answer and what is wrong with it.
 func (w Word) withReply(reply client.Reply) Word {
 	w.Status = reply.Status
--- a/internal/procs/faults.go
+++ b/internal/procs/faults.go
@@ -29,6 +29,9 @@
 	ForceWait = 15 * clock.Second
 	// CalmWait bounds the time until the fleet is whole again.
 	CalmWait = 30 * clock.Second
+	// requestsBegin is the time in which requests begin that are under way at a
+	// stop.
+	requestsBegin = 100 * clock.Millisecond
 )
 
 // Faults returns all faults by name. Each breaks something, mends it and
@@ -118,7 +121,7 @@
 	name := names[0]
 	calm := w.clock.Now()
 	// Some requests are under way when the stop begins.
-	w.sleep(clock.Second)
+	w.sleep(requestsBegin)
 	start := w.clock.Now()
 	if err := w.Fleet.Signal(name, syscall.SIGTERM); err != nil {
 		return err
