--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -216,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Finished(now, f, outcome)
-	if word.Reason == xchg.Unsent.String() || word.Reason == reasonUnreached {
+	if isAbsent(word) {
 		o.leaveOut(s, now, t.ID, word.Reason)
 	}
 	if word.Heard {
@@ -227,6 +227,16 @@
 	}
 }
 
+// isAbsent reports whether a word shows that the target is not there: it or its
+// daemon was not reached, or another target has its address.
+func isAbsent(word leg.Word) bool {
+	switch word.Reason {
+	case xchg.Unsent.String(), reasonUnreached, reasonMoved, reasonOther:
+		return true
+	}
+	return false
+}
+
 // leaveOut gives a target no new work for a while. s.mu is held.
 func (o *Outbound) leaveOut(s *service, now clock.Milli, target, reason string) {
 	if s.mark(now, target) {
--- a/internal/trans/flow/entry.go
+++ b/internal/trans/flow/entry.go
@@ -19,7 +19,7 @@
 		return n.refuse(r, hop, "leaving")
 	}
 	if n.isOther(hop.Target) {
-		return n.refuse(r, hop, "moved")
+		return n.refuse(r, hop, reasonMoved)
 	}
 	if !n.Floor(hop.Path).Passes(hop.Importance, hop.Root) {
 		return n.refuse(r, hop, "deeper")
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -46,7 +46,7 @@
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was lost"), n.word(leg.Unknown, e.Kind.String())
 	case a.Status == fasthttp.StatusMisdirectedRequest:
 		n.setActual(xchg.Get(a.Fields, h.Instance))
-		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, "other")
+		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, reasonOther)
 	case xchg.Get(a.Fields, h.NotRun) != "":
 		n.cfg.Counts.Refused("target")
 		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, reasonTarget)
