End a stop only when nothing waits to be read

A daemon took requests up to 91 ms before the end of its stop; their connections' goroutines had had no turn, so the connections had no request yet, looked idle and were closed: nine requests cut by planned work, none ran. The daemon's lines show the same stall: 'stopped' was written 87 ms after the cut. The linger of 150 ms was kept; time alone is no measure there. Ruled out: the system's own resets (these ended with EOF); the accept queue (taken). Change: a connection counts from the moment it is taken, a request from its first byte, and the stop looks at the sockets of idle connections for bytes that wait. Test first: TestServerIsNotQuietWhileRequestsWait fails if a request counts only once it is whole.

--- a/internal/procs/document.go
+++ b/internal/procs/document.go
@@ -17,7 +17,7 @@
 	controlPort  = 7003
 	operatorPort = 7004
 	targetPort   = 7005
-	// innerPort is the inbound port of a daemon behind a [Relay], which then
+	// innerPort is the inbound port of a daemon behind a relay, which then
 	// holds inboundPort.
 	innerPort = 7006
 )
--- a/internal/procs/world.go
+++ b/internal/procs/world.go
@@ -9,6 +9,7 @@
 	"siskinswitch.example/siskin/internal/fakes"
 	"siskinswitch.example/siskin/internal/proto/config"
 	"siskinswitch.example/siskin/internal/proto/desk"
+	"siskinswitch.example/siskin/internal/relay"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/client"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -28,7 +29,7 @@
 	// Dir holds settings and logs.
 	Dir   string
 	Shape Shape
-	// Relayed names instances whose inbound connections pass a [Relay].
+	// Relayed names instances whose inbound connections pass a [relay.Relay].
 	Relayed []string
 	// Callers is the number of callers; with 0 nothing is called.
 	Callers int
@@ -48,7 +49,7 @@
 	doc     rules.Document
 	paths   []string
 	targets map[string]*fakes.Target
-	relays  map[string]*Relay
+	relays  map[string]*relay.Relay
 	// http keeps connections; bare belongs to callers that close each one.
 	http    *client.HTTP
 	bare    *client.HTTP
@@ -68,7 +69,7 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 		doc:     Document(cfg.Shape),
 		targets: make(map[string]*fakes.Target),
-		relays:  make(map[string]*Relay),
+		relays:  make(map[string]*relay.Relay),
 		http:    client.NewHTTP(client.HTTPConfig{}),
 		bare:    client.NewHTTP(client.HTTPConfig{}),
 	}
@@ -154,7 +155,7 @@
 	if !slices.Contains(w.cfg.Relayed, i.Name) {
 		return nil
 	}
-	w.relays[i.Name], err = NewRelay(addr(i.Host, inboundPort), addr(i.Host, innerPort))
+	w.relays[i.Name], err = relay.New(addr(i.Host, inboundPort), addr(i.Host, innerPort))
 	return err
 }
 
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// echo is a server that sends back what it reads.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestWays says something through a relay, does something to it, and says
+// something again. Each trouble must be noticed.
+func TestWays(t *testing.T) {
+	tests := map[string]struct {
+		act func(r *Relay)
+		// want is the error of the second answer, slow that it takes longer.
+		want error
+		slow bool
+	}{
+		"clear": {
+			act: func(*Relay) {},
+		},
+		"delayed": {
+			act:  func(r *Relay) { r.SetWay(Delayed) },
+			slow: true,
+		},
+		"deaf there": {
+			act:  func(r *Relay) { r.SetWay(DeafThere) },
+			want: os.ErrDeadlineExceeded,
+		},
+		"deaf here": {
+			act:  func(r *Relay) { r.SetWay(DeafHere) },
+			want: os.ErrDeadlineExceeded,
+		},
+		"silent": {
+			act:  func(r *Relay) { r.SetWay(Silent) },
+			want: os.ErrDeadlineExceeded,
+		},
+		"silenced for good": {
+			act:  (*Relay).Silence,
+			want: os.ErrDeadlineExceeded,
+		},
+		"reset": {
+			act:  (*Relay).Reset,
+			want: syscall.ECONNRESET,
+		},
+		"closed": {
+			act:  (*Relay).Close,
+			want: syscall.ECONNRESET,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, err := New("127.0.0.1:0", echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(r.Close)
+			c, err := net.Dial("tcp4", r.listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			if _, err := say(c); err != nil {
+				t.Fatal(err)
+			}
+			tt.act(r)
+			took, err := say(c)
+			if !errors.Is(err, tt.want) {
+				t.Errorf("error = %v, want %v", err, tt.want)
+			}
+			if tt.slow && took < 2*delay.Duration() {
+				t.Errorf("took %v, want twice the delay at least", took)
+			}
+		})
+	}
+}
+
+// say sends one byte and waits for it to come back.
+func say(c net.Conn) (time.Duration, error) {
+	began := time.Now()
+	_ = c.SetDeadline(began.Add(400 * time.Millisecond))
+	if _, err := c.Write([]byte("x")); err != nil {
+		return 0, err
+	}
+	var b [1]byte
+	_, err := io.ReadFull(c, b[:])
+	return time.Since(began), err
+}
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -335,8 +335,7 @@
 func (d *Daemon) awaitIdle(least, most clock.Milli) {
 	for {
 		now := d.clock.Now()
-		isIdle := d.callers.Busy() == 0 && d.peers.Busy() == 0
-		if now >= least && isIdle || now >= most {
+		if now >= most || now >= least && d.callers.IsQuiet() && d.peers.IsQuiet() {
 			return
 		}
 		<-d.clock.After(stopStep)
--- a/internal/trans/xchg/server.go
+++ b/internal/trans/xchg/server.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -89,13 +90,30 @@
 		if err != nil {
 			return
 		}
-		go s.serve(raw)
+		go s.serve(s.enter(raw))
 	}
 }
 
-// Busy returns the number of requests without an answer.
+// Busy returns the number of requests without an answer, those among them that
+// have not come whole yet included.
 func (s *Server) Busy() int64 { return s.busy.Load() }
 
+// IsQuiet reports whether no request is without an answer and none waits to be
+// read.
+func (s *Server) IsQuiet() bool {
+	if s.Busy() > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if sock.Look(c.raw) == sock.Unread {
+			return false
+		}
+	}
+	return true
+}
+
 // Stop makes each connection close behind its next answer, and those without
 // a request after the usual idle time. New requests are still handled.
 func (s *Server) Stop() { s.stopping.Store(true) }
@@ -129,7 +147,9 @@
 	turns  chan *turn
 	// pending counts the requests read and not answered.
 	pending atomic.Int64
-	cancel  context.CancelFunc
+	// ctx ends with the connection, or when its caller hangs up.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// closing is set before the last answer is written.
 	closing atomic.Bool
 	// wrote is closed when nothing more will be written.
@@ -156,25 +176,31 @@
 	}
 }
 
-func (s *Server) serve(raw net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+// enter takes in a connection. It counts from here on, before its goroutine has
+// its first turn.
+func (s *Server) enter(raw net.Conn) *session {
 	c := &session{
 		server: s,
 		raw:    raw,
 		br:     bufio.NewReaderSize(raw, s.bufferSize()),
 		turns:  make(chan *turn, aheadMost),
-		cancel: cancel,
 		wrote:  make(chan struct{}),
 	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
+	return c
+}
+
+// serve serves a connection until it ends.
+func (s *Server) serve(c *session) {
+	defer c.cancel()
 	go c.write()
-	c.read(ctx)
+	c.read()
 	close(c.turns)
 	<-c.wrote
-	_ = raw.Close()
+	_ = c.raw.Close()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -186,7 +212,7 @@
 
 // read takes requests from the connection and starts their handlers. It goes
 // on reading while they run, which is how a hang-up is noticed.
-func (c *session) read(ctx context.Context) {
+func (c *session) read() {
 	var last *turn
 	for {
 		r, err := c.next()
@@ -200,14 +226,14 @@
 			<-last.sent
 		}
 		if c.closing.Load() {
+			c.server.busy.Add(-1)
 			return
 		}
 		t := newTurn(r)
 		last = t
 		c.pending.Add(1)
-		c.server.busy.Add(1)
 		c.turns <- t
-		go func() { t.done <- c.server.cfg.Handle(ctx, r) }()
+		go func() { t.done <- c.server.cfg.Handle(c.ctx, r) }()
 		if r.close {
 			c.watchClose()
 			return
@@ -226,11 +252,22 @@
 
 var errIdle = errors.New("no request within the idle time")
 
-// next reads one whole request.
+// next reads one whole request. The server counts as busy with it from its first
+// byte on, unless next returns an error.
 func (c *session) next() (*Request, error) {
 	if err := c.await(); err != nil {
 		return nil, err
 	}
+	c.server.busy.Add(1)
+	r, err := c.readRequest()
+	if err != nil {
+		c.server.busy.Add(-1)
+	}
+	return r, err
+}
+
+// readRequest reads one whole request of which the first byte has come.
+func (c *session) readRequest() (*Request, error) {
 	limits := c.server.cfg.Limits()
 	c.setReadDeadline(limits.Read)
 	req := fasthttp.AcquireRequest()
--- a/internal/trans/xchg/xchg_test.go
+++ b/internal/trans/xchg/xchg_test.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -424,3 +427,55 @@
 		t.Fatal("a connection was kept on which a body is not written whole")
 	}
 }
+
+// TestServerIsNotQuietWhileRequestsWait keeps a reader from its turn, as a busy
+// machine does, while a request comes.
+func TestServerIsNotQuietWhileRequestsWait(t *testing.T) {
+	var held sync.Mutex
+	s := NewServer(ServerConfig{
+		Clock: clock.System(),
+		Limits: func() ServerLimits {
+			held.Lock()
+			defer held.Unlock()
+			return testLimits()
+		},
+		Handle:     func(context.Context, *Request) Reply { return answer(200, "") },
+		IsParallel: func(*Request) bool { return true },
+	})
+	l, err := Listen("127.0.0.1:0", clock.System())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go s.Serve(l)
+	c := connect(t, l.Addr().String())
+	await := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	write(t, c, "GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	br := bufio.NewReader(c)
+	read := func() {
+		t.Helper()
+		var resp fasthttp.Response
+		if err := resp.Read(br); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read()
+	await("not quiet after the answer", s.IsQuiet)
+	held.Lock()
+	write(t, c, "GET /a/2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	await("quiet while a request waits", func() bool { return !s.IsQuiet() })
+	time.Sleep(20 * time.Millisecond)
+	if s.IsQuiet() {
+		t.Error("quiet while a request waits to be read")
+	}
+	held.Unlock()
+	read()
+	await("not quiet after the second answer", s.IsQuiet)
+}
