Make no log lines that the rate leaves out

Change: the logger asks for room before a line is made and counts it as left out. Test first: TestLinesBeyondTheRateAreNotMade had 10 of 10 lines made beyond the rate. Ruled out: a smaller rate; the cost was in lines that nobody reads.

--- a/internal/side/lines.go
+++ b/internal/side/lines.go
@@ -19,6 +19,8 @@
 	// second, linesBurst what it may save up.
 	linesRate  = 48 << 10
 	linesBurst = 256 << 10
+	// linesLeast is the room that there must be for a line to be made.
+	linesLeast = 512
 	// linesQueue is the number of lines that wait for a slow reader.
 	linesQueue = 1024
 	// linesSum is the least time between two lines that tell how many were
@@ -26,11 +28,16 @@
 	linesSum = clock.Second
 )
 
-// NewLogger returns a logger that writes one line of JSON for each event.
+// NewLogger returns a logger that writes one line of JSON for each event. Lines
+// for which a [Lines] has no room are left out before they are made.
 func NewLogger(out zapcore.WriteSyncer) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel))
+	level := zap.LevelEnablerFunc(zapcore.InfoLevel.Enabled)
+	if l, ok := out.(*Lines); ok {
+		level = func(lvl zapcore.Level) bool { return lvl >= zapcore.InfoLevel && l.hasRoom() }
+	}
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, level))
 }
 
 // Lines passes log lines on without ever holding up who writes them. Lines
@@ -79,11 +86,30 @@
 	return len(line), nil
 }
 
-// take charges n bytes to the rate. l.mu is held.
-func (l *Lines) take(n int) bool {
+// hasRoom reports whether the rate allows one more line, and counts one as left
+// out if it does not.
+func (l *Lines) hasRoom() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill()
+	if l.tokens < linesLeast {
+		l.left.Add(1)
+		return false
+	}
+	return true
+}
+
+// refill adds what the rate has brought since it was looked at last. l.mu is
+// held.
+func (l *Lines) refill() {
 	now := l.clock.Now()
 	l.tokens = min(linesBurst, l.tokens+int64(now-l.at)*linesRate/int64(clock.Second))
 	l.at = now
+}
+
+// take charges n bytes to the rate. l.mu is held.
+func (l *Lines) take(n int) bool {
+	l.refill()
 	if l.tokens < int64(n) {
 		return false
 	}
--- a/internal/side/lines_test.go
+++ b/internal/side/lines_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -79,3 +82,38 @@
 		t.Errorf("the lines left out are not told: %q", text[max(0, len(text)-200):])
 	}
 }
+
+// made counts how often it is made part of a line.
+type made struct{ n *int }
+
+func (m made) MarshalLogObject(zapcore.ObjectEncoder) error {
+	*m.n++
+	return nil
+}
+
+func TestLinesBeyondTheRateAreNotMade(t *testing.T) {
+	fake := clock.NewFake(0)
+	out := &buffer{}
+	l := NewLines(out, fake.Clock())
+	log := NewLogger(l)
+	for l.hasRoom() {
+		_, _ = l.Write(bytes.Repeat([]byte("x"), 256))
+	}
+	left := l.left.Load()
+	n := 0
+	for range 10 {
+		log.Info("a line", zap.Object("made", made{n: &n}))
+	}
+	if n != 0 {
+		t.Errorf("%d lines were made beyond the rate", n)
+	}
+	if got := l.left.Load() - left; got != 10 {
+		t.Errorf("%d lines count as left out, want 10", got)
+	}
+	fake.Advance(clock.Second)
+	log.Info("a line", zap.Object("made", made{n: &n}))
+	if n != 1 {
+		t.Errorf("%d lines were made within the rate, want 1", n)
+	}
+	l.Close()
+}
