Keep ends and reasons in one place, and claim no less than the lines tell

Cause: read once more. internal/proto/story spelled the ends and reasons that internal/trans/flow defines, so a change of one would have gone unnoticed by the other; 'trace' said that no target was asked where targets had been tried and their lines were missing, or where a guard had refused; the reason of a line was cut out of an answer's body. Ruled out: changes of behaviour on the data path: constants moved (ends to proto/event, reasons to proto/leg), the same words are written. Test first: 'a reason without a cause of its own' was told as 'no target to choose'.

--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -49,6 +49,19 @@
 	Lines        = Event{Number: 502, Text: "log lines left out"}
 )
 
+// Ends of requests, as lines of [Answered] and metrics name them.
+const (
+	EndDone    = "done"
+	EndRefused = "refused"
+	EndLost    = "lost"
+	EndLate    = "late"
+	EndGone    = "gone"
+	// EndUnready and EndUnrouted are of requests for which no target is chosen:
+	// the daemon has no configuration yet or stops, or no route matches.
+	EndUnready  = "unready"
+	EndUnrouted = "unrouted"
+)
+
 // All returns the catalogue in the order of numbers.
 func All() []Event {
 	return []Event{
--- a/internal/proto/leg/leg.go
+++ b/internal/proto/leg/leg.go
@@ -69,9 +69,27 @@
 	Ask bool
 }
 
-// ReasonCall is the reason of a word about a request that the target failed
-// after one of its own calls had failed.
-const ReasonCall = "call"
+// Reasons of words, beside those of the gate, the guard and the exchange.
+const (
+	// ReasonCall is given for a request that the target failed after one of its
+	// own calls had failed.
+	ReasonCall = "call"
+	// ReasonUnreached is given for a request of which nothing was sent to the
+	// target.
+	ReasonUnreached = "unreached"
+	// ReasonTarget is given for a request that the target itself turned away.
+	ReasonTarget = "target"
+	// ReasonMoved is given for a request to a target whose address another has,
+	// ReasonOther for one that the other target has turned away.
+	ReasonMoved = "moved"
+	ReasonOther = "other"
+	// ReasonLeaving is given by a target that takes no new work.
+	ReasonLeaving = "leaving"
+	// ReasonDeeper is given for a request that a deeper service would refuse.
+	ReasonDeeper = "deeper"
+	// ReasonCanceled is given for a request whose sender left while it waited.
+	ReasonCanceled = "canceled"
+)
 
 // Outcome is what became of a request at the inbound side.
 type Outcome uint8
--- a/internal/proto/story/cause.go
+++ b/internal/proto/story/cause.go
@@ -1,5 +1,10 @@
 package story
 
+import (
+	"siskinswitch.example/siskin/internal/proto/leg"
+	"siskinswitch.example/siskin/internal/state/admit"
+)
+
 // Cause is why a request ended as it did.
 type Cause string
 
@@ -39,16 +44,17 @@
 
 // reasons maps the reason of an attempt that did not run to its cause.
 var reasons = map[string]Cause{
-	"full":      NoRoom,
-	"below":     NoRoom,
-	"late":      NoTime,
-	"canceled":  Left,
-	"draining":  Leaving,
-	"leaving":   Leaving,
-	"deeper":    Deeper,
-	"target":    TurnedAway,
-	"other":     Leaving,
-	"moved":     Leaving,
-	"unreached": Unreached,
-	"unsent":    Unreached,
+	admit.Full.String():     NoRoom,
+	admit.Below.String():    NoRoom,
+	admit.Late.String():     NoTime,
+	admit.Draining.String(): Leaving,
+	leg.ReasonCanceled:      Left,
+	leg.ReasonLeaving:       Leaving,
+	leg.ReasonDeeper:        Deeper,
+	leg.ReasonTarget:        TurnedAway,
+	leg.ReasonOther:         Leaving,
+	leg.ReasonMoved:         Leaving,
+	leg.ReasonUnreached:     Unreached,
+	// Of an exchange of which nothing was sent.
+	"unsent": Unreached,
 }
--- a/internal/proto/story/day.go
+++ b/internal/proto/story/day.go
@@ -94,7 +94,7 @@
 		}
 		d.slots[second] = s
 	}
-	isWhole := l.End == "done" && l.Status < fasthttp.StatusInternalServerError
+	isWhole := l.End == event.EndDone && l.Status < fasthttp.StatusInternalServerError
 	n := max(l.Sample, 1)
 	if isWhole {
 		g.Whole += n
--- a/internal/proto/story/explain.go
+++ b/internal/proto/story/explain.go
@@ -7,6 +7,9 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"siskinswitch.example/siskin/internal/proto/event"
+	"siskinswitch.example/siskin/internal/proto/leg"
 )
 
 // dot separates the parts of a call's id.
@@ -99,27 +102,27 @@
 		v.Target = attempt.Target
 	}
 	switch answer.End {
-	case "done":
+	case event.EndDone:
 		if answer.Status < fasthttp.StatusInternalServerError {
 			v.Cause = Whole
 			v.Words = fmt.Sprintf("%s answered %d after %d ms", v.Target, answer.Status, answer.Took)
 			return v
 		}
 		return judgeFailure(lines, v, answer.Status)
-	case "unready":
+	case event.EndUnready:
 		v.Cause = Unready
 		v.Words = fmt.Sprintf("the daemon on %s took no requests: %s", v.Host, answer.Reason)
-	case "unrouted":
+	case event.EndUnrouted:
 		v.Cause = Unrouted
 		v.Words = fmt.Sprintf("no route of version %d matches it", answer.Version)
-	case "refused":
+	case event.EndRefused:
 		return judgeRefusal(answer, attempt, v)
-	case "late":
+	case event.EndLate:
 		return judgeSlow(lines, v, answer.Took)
-	case "gone":
+	case event.EndGone:
 		v.Cause = Left
 		v.Words = fmt.Sprintf("the caller hung up after %d ms", answer.Took)
-	case "lost":
+	case event.EndLost:
 		v.Cause = Lost
 		v.Words = fmt.Sprintf("the answer was lost (%s); it may have run", answer.Reason)
 		if attempt != nil {
@@ -141,12 +144,12 @@
 		Target: attempt.Target,
 	}
 	switch {
-	case attempt.Outcome == "not-run":
+	case attempt.Outcome == leg.NotRun.String():
 		return judgeRefusal(attempt, attempt, v)
-	case attempt.Outcome == "done" && attempt.Status < fasthttp.StatusInternalServerError:
+	case attempt.Outcome == leg.Done.String() && attempt.Status < fasthttp.StatusInternalServerError:
 		v.Cause = Whole
 		v.Words = fmt.Sprintf("%s answered %d after %d ms", v.Target, attempt.Status, attempt.Took)
-	case attempt.Outcome == "done":
+	case attempt.Outcome == leg.Done.String():
 		return judgeFailure(lines, v, attempt.Status)
 	case attempt.Reason == "timeout", attempt.Reason == "canceled":
 		return judgeSlow(lines, v, attempt.Took)
@@ -209,6 +212,13 @@
 	case ok:
 		v.Cause = cause
 		v.Words = fmt.Sprintf("%s (%s), %d targets tried", cause, reason, len(answer.Tried))
+	case attempt != nil:
+		v.Cause = Unknown
+		v.Words = fmt.Sprintf("%s did not run it: %s", v.Target, reason)
+	case len(answer.Tried) > 0:
+		v.Cause = NoTarget
+		v.Words = fmt.Sprintf("no further target of %s could be asked: %s; the lines of %s are missing", v.Service, reason,
+			strings.Join(answer.Tried, " "))
 	default:
 		v.Cause = NoTarget
 		v.Words = fmt.Sprintf("no target of %s was asked: %s", v.Service, reason)
--- a/internal/proto/story/story_test.go
+++ b/internal/proto/story/story_test.go
@@ -44,6 +44,17 @@
 			want: Unknown,
 			at:   "a",
 		},
+		"a reason without a cause of its own": {
+			log: answer(`"id":"a","end":"refused","reason":"not-run fenced","status":503,"tried":["t1"]`) +
+				attempt(`"id":"a","outcome":"not-run","reason":"fenced","status":503`),
+			want: Unknown,
+			at:   "a",
+		},
+		"no target, and the lines of those asked are missing": {
+			log:  answer(`"id":"a","end":"refused","reason":"choice: none","status":503,"tried":["t1"]`),
+			want: NoTarget,
+			at:   "a",
+		},
 		"a question is no attempt": {
 			log: answer(`"id":"a","end":"refused","reason":"not-run unreached","status":503`) +
 				attempt(`"id":"a","ask":true,"outcome":"not-run","reason":"full"`),
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -19,19 +19,6 @@
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
-// Ends of requests, as logs and metrics name them.
-const (
-	endDone    = "done"
-	endRefused = "refused"
-	endLost    = "lost"
-	endLate    = "late"
-	endGone    = "gone"
-	// endUnready and endUnrouted are of requests for which no target is chosen:
-	// the daemon has no configuration yet or stops, or no route matches.
-	endUnready  = "unready"
-	endUnrouted = "unrouted"
-)
-
 const (
 	// movesMost is the number of daemons that may refuse a request before it
 	// is refused to its caller.
@@ -66,7 +53,7 @@
 		switch word.Outcome {
 		case leg.Done:
 			if !o.mayImprove(c, &a, word) {
-				return a, endDone
+				return a, event.EndDone
 			}
 			kept = &a
 		case leg.NotRun:
@@ -136,15 +123,15 @@
 func (o *Outbound) giveUp(ctx context.Context, c *call, mayHaveRun bool, kept *guard.Answer) (guard.Answer, string) {
 	switch {
 	case kept != nil:
-		return *kept, endDone
+		return *kept, event.EndDone
 	case !mayHaveRun:
-		return o.cfg.refusal(c.id, "not run: "+c.reason, max(c.wait, refusedWait)), endRefused
+		return o.cfg.refusal(c.id, "not run: "+c.reason, max(c.wait, refusedWait)), event.EndRefused
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return o.failure(c, fasthttp.StatusGatewayTimeout, "no answer in time"), endLate
+		return o.failure(c, fasthttp.StatusGatewayTimeout, "no answer in time"), event.EndLate
 	case ctx.Err() != nil:
-		return o.failure(c, fasthttp.StatusGatewayTimeout, "the caller left"), endGone
+		return o.failure(c, fasthttp.StatusGatewayTimeout, "the caller left"), event.EndGone
 	}
-	return o.failure(c, fasthttp.StatusBadGateway, "the answer was lost"), endLost
+	return o.failure(c, fasthttp.StatusBadGateway, "the answer was lost"), event.EndLost
 }
 
 func (o *Outbound) isTimeLeft(c *call) bool { return c.deadline-o.cfg.Clock.Now() > leastLeft }
@@ -223,7 +210,7 @@
 		s.learn(now, t.ID, c.route.Name, word)
 	}
 	if word.Leaving {
-		o.leaveOut(s, now, t.ID, "leaving")
+		o.leaveOut(s, now, t.ID, leg.ReasonLeaving)
 	}
 }
 
@@ -231,7 +218,7 @@
 // daemon was not reached, or another target has its address.
 func isAbsent(word leg.Word) bool {
 	switch word.Reason {
-	case xchg.Unsent.String(), reasonUnreached, reasonMoved, reasonOther:
+	case xchg.Unsent.String(), leg.ReasonUnreached, leg.ReasonMoved, leg.ReasonOther:
 		return true
 	}
 	return false
--- a/internal/trans/flow/entry.go
+++ b/internal/trans/flow/entry.go
@@ -16,13 +16,13 @@
 	now := n.cfg.Clock.Now()
 	gate, ok := n.open(now, hop)
 	if !ok {
-		return n.refuse(r, hop, "leaving")
+		return n.refuse(r, hop, leg.ReasonLeaving)
 	}
 	if n.isOther(hop.Target) {
-		return n.refuse(r, hop, reasonMoved)
+		return n.refuse(r, hop, leg.ReasonMoved)
 	}
 	if !n.Floor(hop.Path).Passes(hop.Importance, hop.Root) {
-		return n.refuse(r, hop, "deeper")
+		return n.refuse(r, hop, leg.ReasonDeeper)
 	}
 	deadline := now + leftOf(r, n.cfg.Headers.Deadline)
 	work, d, signals := gate.Offer(admit.Work{
@@ -46,7 +46,7 @@
 	took := clock.Milli(-1)
 	defer func() { gate.Done(work, took) }()
 	if ctx.Err() != nil {
-		return n.refuse(r, hop, "canceled")
+		return n.refuse(r, hop, leg.ReasonCanceled)
 	}
 	if hop.Key != "" && !n.table.Start(hop.Key) {
 		return n.refuse(r, hop, "fenced")
@@ -101,7 +101,7 @@
 	case s = <-signals:
 	case <-ctx.Done():
 		if gate.Cancel(w) {
-			return "canceled"
+			return leg.ReasonCanceled
 		}
 		s = <-signals
 	}
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -42,15 +42,6 @@
 	leavingShare = 40
 	// refusedWait is the least time after which a refused request is welcome.
 	refusedWait = 200 * clock.Millisecond
-	// reasonUnreached is given for a request of which nothing was sent to the
-	// target.
-	reasonUnreached = "unreached"
-	// reasonMoved is given for a request to a target whose address another has,
-	// reasonOther for one that the other target has turned away.
-	reasonMoved = "moved"
-	reasonOther = "other"
-	// reasonTarget is given for a request that the target itself turned away.
-	reasonTarget = "target"
 	// roomShare is the part of the limit, in percent, up to which a target
 	// that turns work away is not simply full.
 	roomShare = 90
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -117,15 +116,18 @@
 	id := r.Get(o.cfg.Headers.ID)
 	v := o.cfg.View()
 	if v.Config == nil || !v.Fleet.Known {
-		return o.turnAway(r, v, endUnready, o.cfg.refusal(id, "no configuration yet", unreadyWait))
+		const reason = "no configuration yet"
+		return o.turnAway(r, v, event.EndUnready, reason, o.cfg.refusal(id, reason, unreadyWait))
 	}
 	route, ok := v.Config.Match(r.Host, r.Path())
 	if !ok {
-		return o.turnAway(r, v, endUnrouted, o.cfg.plain(id, fasthttp.StatusNotFound, "no route"))
+		const reason = "no route"
+		return o.turnAway(r, v, event.EndUnrouted, reason, o.cfg.plain(id, fasthttp.StatusNotFound, reason))
 	}
 	c := o.newCall(r, id, route, v)
 	if end := clock.Milli(o.closing.Load()); end > 0 && c.deadline > end {
-		reply := o.turnAway(r, v, endUnready, o.cfg.refusal(id, "the daemon stops", closingWait))
+		const reason = "the daemon stops"
+		reply := o.turnAway(r, v, event.EndUnready, reason, o.cfg.refusal(id, reason, closingWait))
 		reply.Close = true
 		return reply
 	}
@@ -144,7 +146,7 @@
 }
 
 // turnAway answers a request that no target is chosen for, and writes its line.
-func (o *Outbound) turnAway(r *xchg.Request, v *model.View, end string, a guard.Answer) xchg.Reply {
+func (o *Outbound) turnAway(r *xchg.Request, v *model.View, end, reason string, a guard.Answer) xchg.Reply {
 	took := o.cfg.Clock.Now() - r.Arrived
 	o.cfg.Counts.Answered(end, took)
 	version := uint64(0)
@@ -155,7 +157,7 @@
 		zap.String("id", r.Get(o.cfg.Headers.ID)),
 		zap.Uint64("version", version),
 		zap.String("end", end),
-		zap.ByteString("reason", bytes.TrimSpace(a.Body)),
+		zap.String("reason", reason),
 		zap.Int("status", a.Status),
 		zap.Int64("took", int64(took)))
 	return xchg.Reply{
@@ -166,7 +168,7 @@
 // log writes one line about a request. Of whole ones, only those of a sample of
 // roots are kept.
 func (o *Outbound) log(c *call, a *guard.Answer, end string, took clock.Milli) {
-	isWhole := end == endDone && a.Status < fasthttp.StatusInternalServerError
+	isWhole := end == event.EndDone && a.Status < fasthttp.StatusInternalServerError
 	if isWhole && !isSampled(c.root) {
 		return
 	}
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -27,7 +27,7 @@
 	a, err := n.apps.Do(ctx, n.cfg.Self.Target, &out, o)
 	n.leave(r.Get(h.ID))
 	a, word := n.judge(r, a, err)
-	word.Arrived = word.Reason != reasonUnreached
+	word.Arrived = word.Reason != leg.ReasonUnreached
 	if a.Status >= fasthttp.StatusInternalServerError && run.failed.Load() {
 		word.Reason = leg.ReasonCall
 	}
@@ -41,15 +41,15 @@
 	var e *xchg.Error
 	switch {
 	case errors.As(err, &e) && e.Kind == xchg.Unsent:
-		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, reasonUnreached)
+		return n.cfg.refusal(id, "target not reached", refusedWait), n.word(leg.NotRun, leg.ReasonUnreached)
 	case err != nil:
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was lost"), n.word(leg.Unknown, e.Kind.String())
 	case a.Status == fasthttp.StatusMisdirectedRequest:
 		n.setActual(xchg.Get(a.Fields, h.Instance))
-		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, reasonOther)
+		return n.cfg.refusal(id, "another target", refusedWait), n.word(leg.NotRun, leg.ReasonOther)
 	case xchg.Get(a.Fields, h.NotRun) != "":
-		n.cfg.Counts.Refused("target")
-		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, reasonTarget)
+		n.cfg.Counts.Refused(leg.ReasonTarget)
+		return n.cfg.refusal(id, "the target refused", refusedWait), n.word(leg.NotRun, leg.ReasonTarget)
 	case !isWhole(&a, h.Signature):
 		return n.cfg.plain(id, fasthttp.StatusBadGateway, "the target's answer was spoiled"), n.word(leg.Unknown, "spoiled")
 	}
@@ -77,7 +77,7 @@
 // part of what comes for a reason of its own, and the budget has an attempt.
 func (n *Inbound) mayTryAgain(ctx context.Context, hop leg.Hop, word leg.Word, deadline clock.Milli) bool {
 	now := n.cfg.Clock.Now()
-	if word.Reason != reasonTarget || ctx.Err() != nil || deadline-now <= leastLeft {
+	if word.Reason != leg.ReasonTarget || ctx.Err() != nil || deadline-now <= leastLeft {
 		return false
 	}
 	if word.Running*100 > word.Limit*roomShare || hop.Inherited {
