Let no client connect between a listener's last look at its queue and the close

Cause: a draining listener closes when Accept has found nothing for 2 ms.

Change: Drain shrinks the accept queue to one connection and, once it is empty, fills it with a connection of its own before the close. A packet filter that drops SYN segments was tried first; this machine's system refuses it (operation not supported), so nothing here could prove it.

Measured: TestDrainResetsNobody connects in the last moment. Left: a client whose handshake spans the whole close; on loopback that is microseconds.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -178,7 +178,9 @@
 // connections that clients have already opened are still answered.
 func (d *Daemon) close() {
 	for _, ln := range d.listeners {
-		ln.Drain(closeTimeout)
+		if err := ln.Drain(closeTimeout); err != nil {
+			d.log.Warn("connections may be reset while a listener closes", zap.Error(err))
+		}
 	}
 	<-d.clock.After(lastRequestWait)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout.Duration())
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -43,7 +43,9 @@
 	exitAt := began + grace - exitMargin
 	d.awaitIdle(began+grace*acceptPercent/100, exitAt-acceptedLinger-clock.Milli(len(d.listeners))*listenerDrainTime)
 	for _, l := range d.listeners {
-		l.Drain(listenerDrainTime)
+		if err := l.Drain(listenerDrainTime); err != nil {
+			d.log.Warn("connections may be reset while a listener closes", zap.Error(err))
+		}
 	}
 	lingerEnd := d.clock.Now() + acceptedLinger
 	d.awaitIdle(lingerEnd, max(lingerEnd, exitAt))
--- a/internal/trans/accept/accept.go
+++ b/internal/trans/accept/accept.go
@@ -7,7 +7,7 @@
 // of this package pauses and retries instead, until it is closed.
 //
 // Closing a listening socket resets the connections in its accept queue.
-// [Listener.Drain] accepts them first.
+// [Listener.Drain] accepts those that wait, lets no more in and closes then.
 package accept
 
 import (
@@ -29,6 +29,8 @@
 	retryInterval = 50 * clock.Millisecond
 	// drainWait is how long a draining listener waits for one more connection.
 	drainWait = 2 * clock.Millisecond
+	// plugTimeout bounds connecting to the own listener.
+	plugTimeout = 5 * clock.Millisecond
 )
 
 var errNoSocket = errors.New("accept: the connection has no socket")
@@ -43,6 +45,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// plugConn is the connection of plug, nil if there is none.
+	plugConn net.Conn
 }
 
 // conn is an accepted connection that is still open.
@@ -87,7 +91,10 @@
 			return l.track(inner), nil
 		}
 		if l.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-			// The accept queue is empty, so closing resets no connection.
+			if !l.plug() {
+				continue
+			}
+			// The accept queue has no client, so closing resets nobody.
 			_ = l.Close()
 			return nil, io.EOF
 		}
@@ -102,9 +109,12 @@
 	}
 }
 
-// Drain closes l once its accept queue is empty, or after wait at the latest.
-// Another goroutine must call Accept meanwhile.
-func (l *Listener) Drain(wait clock.Milli) {
+// Drain closes l once its accept queue has no client, or after wait at the
+// latest. No client connects between the last look at the queue and the close.
+// If the system does not allow that, Drain goes on without it and returns the
+// error. Another goroutine must call Accept meanwhile.
+func (l *Listener) Drain(wait clock.Milli) error {
+	err := shrinkQueue(l.Listener)
 	l.draining.Store(true)
 	l.setDeadline()
 	select {
@@ -112,6 +122,7 @@
 	case <-l.clock.After(wait):
 		_ = l.Close()
 	}
+	return err
 }
 
 // Close stops listening. Further calls do nothing.
@@ -120,6 +131,7 @@
 	l.once.Do(func() {
 		close(l.closed)
 		err = l.Listener.Close()
+		l.unplug()
 	})
 	return err
 }
--- a/internal/trans/accept/accept_test.go
+++ b/internal/trans/accept/accept_test.go
@@ -119,3 +119,66 @@
 		t.Errorf("read on a closed connection = %v, want EOF", err)
 	}
 }
+
+// lateListener is a listener to which a client connects in the last moment, after
+// its queue was seen empty and before it is closed.
+type lateListener struct {
+	*net.TCPListener
+	connect func()
+}
+
+func (l *lateListener) Close() error {
+	l.connect()
+	return l.TCPListener.Close()
+}
+
+// TestDrainResetsNobody checks that a client that connects between the last look
+// at the queue and the close is either accepted or not connected at all: a reset
+// after the first request was written leaves a caller without a word.
+func TestDrainResetsNobody(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp, ok := inner.(*net.TCPListener)
+	if !ok {
+		t.Fatalf("the listener is a %T", inner)
+	}
+	var late net.Conn
+	ln := Wrap(&lateListener{
+		TCPListener: tcp,
+		connect: func() {
+			late, _ = net.DialTimeout("tcp4", inner.Addr().String(), 200*time.Millisecond)
+		},
+	}, clock.System())
+	before, err := net.Dial("tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = before.Close() }()
+	drained := make(chan error, 1)
+	go func() { drained <- ln.Drain(clock.Second) }()
+	accepted := 0
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			break
+		}
+		accepted++
+		defer func() { _ = c.Close() }()
+	}
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+	if accepted != 1 {
+		t.Errorf("accepted %d connections, want the one that waited", accepted)
+	}
+	if late == nil {
+		return
+	}
+	defer func() { _ = late.Close() }()
+	_, werr := late.Write([]byte("request"))
+	_ = late.SetReadDeadline(time.Now().Add(time.Second))
+	_, rerr := late.Read(make([]byte, 1))
+	t.Errorf("a client was connected and reset: write %v, read %v", werr, rerr)
+}
