Bound the memory of messages, contain panics, and answer what arrives last

Three causes in the exchange layer, mended together since they change the same functions of trans/http1 and their wiring in proxy.

An answer might hold 64 MB, with copies, and each of some 60 attempts at one target could: a target that sends a body without end took 545 MB in 2 s. Now a body is read as its bytes arrive, and all bodies in progress share a pool (state/hold) of 12 % of the process's memory for requests and as much for answers; one message may take no more than is left, so small ones always find room. Heads, interim answers, chunk extensions and trailers without end are cut by count or size. An answer that is cut counts as of unknown outcome; a request without room is refused with 503, unread, with its id. 2. No goroutine that serves a connection recovered from a panic. Now one costs its exchange, connection or record (state/rescue), with event 112 and a counter. 3. Now a connection decides itself, with its reader, and the stop waits for that. closeGracefully closed with pipelined input unread, which resets the connection and loses the answer; now the input is read for a second. A failed Start closes the listeners that it opened.

--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -4,7 +4,11 @@
 // against this list.
 package event
 
-import "go.uber.org/zap"
+import (
+	"go.uber.org/zap"
+
+	"siskinswitch.example/siskin/internal/state/rescue"
+)
 
 // Event is one kind of log line.
 type Event struct {
@@ -25,6 +29,8 @@
 	HandoverReceived = Event{Number: 107, Text: "outcomes taken over from a stopped daemon"}
 	Reloaded         = Event{Number: 110, Text: "settings read again"}
 	ReloadFailed     = Event{Number: 111, Text: "changed settings could not be read"}
+	Panicked         = Event{Number: 112, Text: "unexpected error was contained"}
+	HangupIgnored    = Event{Number: 113, Text: "SIGHUP was ignored"}
 	ConfigApplied    = Event{Number: 200, Text: "configuration in force"}
 	ConfigRefused    = Event{Number: 201, Text: "configuration refused"}
 	ServiceDown      = Event{Number: 202, Text: "configuration service could not be read"}
@@ -48,6 +54,7 @@
 	Answered         = Event{Number: 500, Text: "request answered"}
 	Attempt          = Event{Number: 501, Text: "attempt at the target ended"}
 	LinesOmitted     = Event{Number: 502, Text: "log lines left out"}
+	Malformed        = Event{Number: 503, Text: "input was refused unread"}
 )
 
 // Results of requests, as they appear in lines of [Answered] and in metrics.
@@ -81,6 +88,8 @@
 		HandoverReceived,
 		Reloaded,
 		ReloadFailed,
+		Panicked,
+		HangupIgnored,
 		ConfigApplied,
 		ConfigRefused,
 		ServiceDown,
@@ -104,9 +113,15 @@
 		Answered,
 		Attempt,
 		LinesOmitted,
+		Malformed,
 	}
 }
 
+// Contained logs a panic that was contained.
+func Contained(log *zap.Logger, err *rescue.Error) {
+	Warn(log, Panicked, zap.String("op", err.Op), zap.Error(err), zap.String("stack", err.Stack))
+}
+
 // Info logs an event at level info.
 func Info(log *zap.Logger, e Event, fields ...zap.Field) {
 	log.Info(e.Text, append(fields, zap.Int("event", e.Number))...)
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -31,7 +31,9 @@
 	"siskinswitch.example/siskin/internal/coord/watch"
 	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/trans/accept"
 	"siskinswitch.example/siskin/internal/trans/flow"
 	"siskinswitch.example/siskin/internal/trans/http1"
@@ -61,6 +63,12 @@
 	// of callers as long as there is no configuration.
 	maxHeadBytes = 24 << 10
 	maxBodyBytes = 64 << 20
+	// messageMemoryPercent is the share of the process's memory limit for the
+	// bodies of requests in progress, and the same again for those of answers.
+	messageMemoryPercent = 12
+	// malformedRetryAfter is the Retry-After of a request that there was no
+	// memory for.
+	malformedRetryAfter = 500 * clock.Millisecond
 	// hopHeadBytes is the room for the header fields that daemons add to a
 	// request.
 	hopHeadBytes = 1 << 10
@@ -81,8 +89,11 @@
 	outbound    *flow.Outbound
 
 	// callers serves the callers on the host, peers the other daemons.
-	callers  *http1.Server
-	peers    *http1.Server
+	callers *http1.Server
+	peers   *http1.Server
+	// requests and answers are the memory for bodies in progress.
+	requests *hold.Pool
+	answers  *hold.Pool
 	stopping atomic.Bool
 	// latest are the settings as last read. They differ from settings while a
 	// changed field waits for a restart.
@@ -111,9 +122,12 @@
 		clock:    c,
 		log:      log,
 		meter:    newMeter(),
+		requests: hold.NewPool(messageMemory(set.Memory)),
+		answers:  hold.NewPool(messageMemory(set.Memory)),
 	}
 	d.incarnation = max(binary.LittleEndian.Uint64(random[8:]), 1)
 	d.viewTracker = newViewTracker(log, d.applyView)
+	d.viewTracker.onPanic = d.contain
 	cfg := flow.Config{
 		Clock:   c,
 		Headers: platform.Headers(),
@@ -129,6 +143,7 @@
 		View:        d.viewTracker.view.Load,
 		Log:         log,
 		Metrics:     d.meter.flowMetrics(),
+		OnPanic:     d.contain,
 		Seed:        binary.LittleEndian.Uint64(random[:8]),
 		Incarnation: d.incarnation,
 		RetryRatio:  set.Ratio,
@@ -143,7 +158,10 @@
 		Limits:      d.callerLimits,
 		Handle:      d.outbound.Handle,
 		MayPipeline: d.outbound.MayPipeline,
-		Malformed:   malformed,
+		Malformed:   d.malformed,
+		Requests:    d.requests,
+		Answers:     d.answers,
+		OnPanic:     d.contain,
 	})
 	d.peers = http1.NewServer(http1.ServerConfig{
 		Clock: c,
@@ -157,17 +175,49 @@
 		},
 		Handle:      d.inbound.Handle,
 		MayPipeline: func(*http1.Request) bool { return false },
-		Malformed:   malformed,
+		Malformed:   d.malformed,
+		Requests:    d.requests,
+		Answers:     d.answers,
+		OnPanic:     d.contain,
 	})
 	return d, nil
 }
 
-// malformed returns the answer to a message that can't be parsed as a request.
-func malformed(status int, err error) guard.Answer {
-	return guard.Answer{
+// messageMemory returns the bytes of a pool for a process limit in megabytes.
+func messageMemory(megabytes int) int { return megabytes << 20 / 100 * messageMemoryPercent }
+
+// run calls f and contains a panic in it.
+func (d *Daemon) run(op string, f func()) {
+	if err := rescue.Run(op, f); err != nil {
+		d.contain(err)
+	}
+}
+
+// contain logs and counts a panic that was contained.
+func (d *Daemon) contain(err *rescue.Error) {
+	d.meter.count("panics", "op", err.Op)
+	event.Contained(d.log, err)
+}
+
+// malformed returns the answer to a message that can't be parsed as a request or
+// exceeds a bound. r has the header of the request, or is nil.
+func (d *Daemon) malformed(r *http1.Request, status int, err error) guard.Answer {
+	a := guard.Answer{
 		Status: status,
 		Body:   []byte(err.Error() + "\n"),
 	}
+	id := ""
+	if r != nil {
+		id = r.Get(platform.HeaderID)
+		a.Fields = http1.WithField(a.Fields, platform.HeaderID, id)
+	}
+	if status == fasthttp.StatusServiceUnavailable {
+		seconds := float64(malformedRetryAfter) / float64(clock.Second)
+		a.Fields = http1.WithField(a.Fields, platform.HeaderRetry, strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	d.meter.count("malformed", "status", strconv.Itoa(status))
+	event.Warn(d.log, event.Malformed, zap.String("id", id), zap.Int("status", status), zap.Error(err))
+	return a
 }
 
 // applyView configures the inbound side for the host's own target as the view
@@ -207,7 +257,7 @@
 }
 
 // Start opens the listeners and begins to follow the store. If one listener
-// fails, the earlier ones stay open.
+// fails, it closes the earlier ones.
 func (d *Daemon) Start() error {
 	for _, l := range []struct {
 		addr  string
@@ -232,6 +282,9 @@
 	} {
 		listener, err := http1.Listen(l.addr, d.clock)
 		if err != nil {
+			for _, opened := range d.listeners {
+				opened.CloseAll()
+			}
 			return fmt.Errorf("proxy: listen on %s: %w", l.addr, err)
 		}
 		d.listeners = append(d.listeners, listener)
@@ -251,11 +304,15 @@
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	return watch.New(watch.Config{
-		Clock:       d.clock,
-		Source:      newStoreClient(d.settings.Store, d.clock).source(),
-		Jitter:      func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
-		Listed:      d.viewTracker.applyList,
-		Changed:     d.viewTracker.applyChanges,
+		Clock:  d.clock,
+		Source: newStoreClient(d.settings.Store, d.clock, d.contain).source(),
+		Jitter: func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
+		Listed: func(now clock.Milli, items []watch.Item, afterOutage bool) {
+			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, afterOutage) })
+		},
+		Changed: func(now clock.Milli, items []watch.Item) {
+			d.run("apply changes of the store", func() { d.viewTracker.applyChanges(now, items) })
+		},
 		Answered:    func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
 		OutageBegan: func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
 		OutageEnded: func() { event.Info(d.log, event.StoreUp) },
@@ -274,13 +331,21 @@
 		case <-ticker.C:
 		}
 		now := d.clock.Now()
-		d.viewTracker.expireTargets(now)
-		d.inbound.Tick()
-		d.outbound.Tick()
-		if now-gaugesAt >= gaugeEvery {
+		isGaugeTime := now-gaugesAt >= gaugeEvery
+		if isGaugeTime {
 			gaugesAt = now
-			d.updateGauges(now)
 		}
+		d.run("tick", func() { d.tickOnce(now, isGaugeTime) })
+	}
+}
+
+// tickOnce does the periodic work that is due at now.
+func (d *Daemon) tickOnce(now clock.Milli, isGaugeTime bool) {
+	d.viewTracker.expireTargets(now)
+	d.inbound.Tick()
+	d.outbound.Tick()
+	if isGaugeTime {
+		d.updateGauges(now)
 	}
 }
 
@@ -291,6 +356,8 @@
 		age = now - clock.Milli(answeredAt)
 	}
 	d.meter.gauges(d.inbound.Stats(), d.viewTracker.view.Load(), age)
+	d.meter.memory("requests", d.requests.Stats())
+	d.meter.memory("answers", d.answers.Stats())
 }
 
 // serveReady answers the platform's readiness check. The daemon is ready once
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/trans/flow"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -138,6 +139,14 @@
 	}
 }
 
+// memory sets the gauges of a pool of memory.
+func (m *meter) memory(pool string, st hold.Stats) {
+	scope := m.scope.Tagged(map[string]string{"pool": pool})
+	scope.Gauge("held_bytes").Update(float64(st.Used))
+	scope.Gauge("held_limit_bytes").Update(float64(st.Limit))
+	scope.Gauge("held_refusals").Update(float64(st.Refused))
+}
+
 // serve answers scrapes on l until l is closed.
 func (m *meter) serve(l net.Listener) {
 	mux := http.NewServeMux()
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -39,6 +40,9 @@
 	counts.ConnOpened()
 	counts.SlotWait(clock.Second)
 	counts.TargetTime(clock.Second)
+	m.count("panics", "op", "tick")
+	m.count("malformed", "status", "400")
+	m.memory("answers", hold.Stats{})
 	m.gauges(admit.Stats{}, &model.View{}, unknownAge)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -14,6 +14,9 @@
 	// idlePollEvery is the interval at which a stopping daemon checks for
 	// requests in flight.
 	idlePollEvery = 20 * clock.Millisecond
+	// closePollEvery is the interval at which a stopping daemon checks for
+	// connections that are not closed yet.
+	closePollEvery = 2 * clock.Millisecond
 	// exitMargin is the time between the end of the process and the kill.
 	exitMargin = 300 * clock.Millisecond
 	// lastAnswerMargin is the time between the last answers and the end of the
@@ -25,6 +28,8 @@
 	// acceptedLinger is how long accepted connections are served after the
 	// listeners are closed, because their requests may still be on the way.
 	acceptedLinger = 150 * clock.Millisecond
+	// idleCloseTime limits the time for closing idle connections.
+	idleCloseTime = 50 * clock.Millisecond
 )
 
 // Stop ends the daemon gracefully within the grace. The readiness check fails
@@ -49,7 +54,7 @@
 	}
 	lingerEnd := d.clock.Now() + acceptedLinger
 	d.awaitIdle(lingerEnd, max(lingerEnd, exitAt))
-	d.callers.CloseIdle()
+	d.closeConnections(max(lingerEnd, exitAt) + idleCloseTime)
 	d.cancel()
 	if d.callers.InFlight()+d.peers.InFlight() > 0 {
 		event.Warn(d.log, event.StopInterrupted, zap.Int64("outbound", d.callers.InFlight()), zap.Int64("inbound", d.peers.InFlight()))
@@ -57,6 +62,16 @@
 	event.Info(d.log, event.Stopped)
 }
 
+// closeConnections closes the connections as they become idle, until latest. A
+// request that arrives in the last moment is answered first.
+func (d *Daemon) closeConnections(latest clock.Milli) {
+	d.callers.CloseIdle()
+	d.peers.CloseIdle()
+	for d.clock.Now() < latest && d.callers.Reading()+d.callers.InFlight()+d.peers.Reading()+d.peers.InFlight() > 0 {
+		<-d.clock.After(closePollEvery)
+	}
+}
+
 // Kill ends the daemon at once and resets its connections, as if its process
 // were killed.
 func (d *Daemon) Kill() {
--- a/internal/proxy/store.go
+++ b/internal/proxy/store.go
@@ -8,6 +8,7 @@
 
 	"siskinswitch.example/siskin/internal/coord/watch"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/platform"
@@ -33,7 +34,7 @@
 	client *http1.Client
 }
 
-func newStoreClient(addr string, c clock.Clock) *storeClient {
+func newStoreClient(addr string, c clock.Clock, onPanic func(*rescue.Error)) *storeClient {
 	return &storeClient{
 		addr: addr,
 		client: http1.NewClient(http1.ClientConfig{
@@ -41,6 +42,7 @@
 			DialTimeout: storeDialTimeout,
 			IdleTimeout: storeIdleTimeout,
 			MaxBody:     maxStoreBodyBytes,
+			OnPanic:     onPanic,
 		}),
 	}
 }
@@ -73,7 +75,11 @@
 // decodePage decodes the body of an answer. A body that can't be decoded is
 // reported as if the store had not answered.
 func decodePage(op string, a guard.Answer, decode func([]byte) (watch.Page, error)) (watch.Page, error) {
-	page, err := decode(a.Body)
+	var page watch.Page
+	var err error
+	if panicked := rescue.Run("decode an answer of the store", func() { page, err = decode(a.Body) }); panicked != nil {
+		err = panicked
+	}
 	if err != nil {
 		return page, &watch.Error{
 			Op:   op,
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -10,6 +10,7 @@
 	"siskinswitch.example/siskin/internal/coord/watch"
 	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/platform"
 )
@@ -22,6 +23,11 @@
 	log *zap.Logger
 	// onUpdate is called with each new view, without the lock.
 	onUpdate func(*model.View)
+	// onPanic is called with a panic while a record was decoded.
+	onPanic func(*rescue.Error)
+	// decodeTarget and decodeConfig decode records. Tests replace them.
+	decodeTarget func(key string, value []byte) (model.Target, error)
+	decodeConfig func(value []byte) (*model.Config, error)
 
 	// mu serializes updates.
 	mu   sync.Mutex
@@ -32,6 +38,10 @@
 	vt := &viewTracker{
 		log:      log,
 		onUpdate: onUpdate,
+		onPanic:  func(*rescue.Error) {},
+
+		decodeTarget: platform.DecodeTarget,
+		decodeConfig: platform.DecodeConfig,
 	}
 	vt.view.Store(&model.View{})
 	return vt
@@ -41,12 +51,16 @@
 // gets a shallow copy: it replaces fields and must not modify what they refer
 // to.
 func (vt *viewTracker) update(change func(v *model.View)) {
+	vt.onUpdate(vt.publish(change))
+}
+
+func (vt *viewTracker) publish(change func(v *model.View)) *model.View {
 	vt.mu.Lock()
+	defer vt.mu.Unlock()
 	next := *vt.view.Load()
 	change(&next)
 	vt.view.Store(&next)
-	vt.mu.Unlock()
-	vt.onUpdate(&next)
+	return &next
 }
 
 // applyList replaces the targets by those of a complete list of the store, and
@@ -60,7 +74,7 @@
 		if !strings.HasPrefix(item.Key, platform.TargetPrefix) {
 			continue
 		}
-		t, err := platform.DecodeTarget(item.Key, item.Value)
+		t, err := vt.target(item)
 		if err != nil {
 			event.Warn(vt.log, event.RecordUnreadable, zap.String("key", item.Key), zap.Error(err))
 			continue
@@ -94,7 +108,7 @@
 		if item.Key != platform.ConfigKey || item.Removed {
 			continue
 		}
-		c, err := platform.DecodeConfig(item.Value)
+		c, err := vt.config(item)
 		if err != nil {
 			event.Warn(vt.log, event.ConfigRefused, zap.Int64("revision", item.Revision), zap.Error(err))
 			continue
@@ -108,6 +122,26 @@
 	return current
 }
 
+// target decodes the record of a target. A panic makes the record unreadable.
+func (vt *viewTracker) target(item watch.Item) (t model.Target, err error) {
+	panicked := rescue.Run("decode a target", func() { t, err = vt.decodeTarget(item.Key, item.Value) })
+	if panicked != nil {
+		vt.onPanic(panicked)
+		return model.Target{}, panicked
+	}
+	return t, err
+}
+
+// config decodes a configuration. A panic makes it unreadable.
+func (vt *viewTracker) config(item watch.Item) (c *model.Config, err error) {
+	panicked := rescue.Run("decode a configuration", func() { c, err = vt.decodeConfig(item.Value) })
+	if panicked != nil {
+		vt.onPanic(panicked)
+		return nil, panicked
+	}
+	return c, err
+}
+
 // withItem returns f after one change to a target's record. A target whose
 // record can't be decoded is removed.
 func (vt *viewTracker) withItem(f model.Fleet, item watch.Item) model.Fleet {
@@ -116,7 +150,7 @@
 		event.Info(vt.log, event.TargetGone, zap.String("target", id))
 		return f.Without(id)
 	}
-	t, err := platform.DecodeTarget(item.Key, item.Value)
+	t, err := vt.target(item)
 	if err != nil {
 		event.Warn(vt.log, event.RecordUnreadable, zap.String("key", item.Key), zap.Error(err))
 		return f.Without(id)
@@ -131,10 +165,7 @@
 // expireTargets removes the targets whose records have been missing for too
 // long.
 func (vt *viewTracker) expireTargets(now clock.Milli) {
-	vt.mu.Lock()
-	_, due := vt.view.Load().Fleet.WithoutExpired(now)
-	vt.mu.Unlock()
-	if due {
+	if _, isDue := vt.view.Load().Fleet.WithoutExpired(now); isDue {
 		vt.update(func(v *model.View) { v.Fleet, _ = v.Fleet.WithoutExpired(now) })
 	}
 }
--- a/internal/trans/accept/accept_test.go
+++ b/internal/trans/accept/accept_test.go
@@ -71,7 +71,9 @@
 	defer func() { _ = waiting.Close() }()
 	drained := make(chan bool)
 	go func() {
-		ln.Drain(clock.Minute)
+		if err := ln.Drain(clock.Minute); err != nil {
+			t.Errorf("drain: %v", err)
+		}
 		close(drained)
 	}()
 	// A listener that ignores its accept queue would be closed by then.
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -25,6 +25,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -74,6 +75,8 @@
 	View    func() *model.View
 	Log     *zap.Logger
 	Metrics Metrics
+	// OnPanic is called with a panic that cost one exchange; nil ignores them.
+	OnPanic func(*rescue.Error)
 	// Seed makes random choices reproducible.
 	Seed uint64
 	// Incarnation identifies this run of the daemon process.
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -99,6 +99,7 @@
 			MaxBody:     maxAnswerBytes,
 			EchoField:   cfg.Headers.ID,
 			OnOpen:      cfg.Metrics.ConnOpened,
+			OnPanic:     cfg.OnPanic,
 		}),
 		gate: slot.New(admit.Config{
 			Slots: defaultSlots,
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -69,6 +69,7 @@
 			IdleTimeout: peerIdleTimeout,
 			MaxBody:     maxAnswerBytes,
 			EchoField:   cfg.Headers.ID,
+			OnPanic:     cfg.OnPanic,
 		}),
 		local:      local,
 		linkBudget: pick.NewBucket(linkBytesPerSecond, linkBurstBytes),
@@ -87,10 +88,7 @@
 	now := o.cfg.Clock.Now()
 	threshold := admit.Threshold{}
 	for _, e := range o.graph.recent(now, path) {
-		s := o.service(e.service)
-		s.mu.Lock()
-		threshold = threshold.Max(s.picker.MinThreshold(now, e.path))
-		s.mu.Unlock()
+		threshold = threshold.Max(o.service(e.service).threshold(now, e.path))
 	}
 	return threshold
 }
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"siskinswitch.example/siskin/internal/proto/peer"
+	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/pick"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -122,6 +123,14 @@
 	return ids
 }
 
+// threshold returns the threshold below which the service would refuse a call of
+// the path at every target.
+func (s *service) threshold(now clock.Milli, path string) admit.Threshold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.MinThreshold(now, path)
+}
+
 // applyFeedback passes the load and the threshold that a target's daemon
 // reported to the picker. s.mu must be held.
 func (s *service) applyFeedback(now clock.Milli, target, op string, fb peer.Feedback) {
--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -17,6 +18,8 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/hold"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -35,12 +38,17 @@
 	EchoField string
 	// OnOpen is called for each new connection; nil ignores them.
 	OnOpen func()
+	// OnPanic is called with a panic in an exchange, which then fails; nil
+	// ignores them.
+	OnPanic func(*rescue.Error)
 }
 
 // Client makes exchanges over keep-alive connections, one at a time on each. It
 // is safe for concurrent use.
 type Client struct {
 	cfg ClientConfig
+	// readHeader parses the header of an answer. Tests replace it.
+	readHeader func(h *fasthttp.ResponseHeader, br *bufio.Reader) error
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -51,9 +59,13 @@
 	if cfg.OnOpen == nil {
 		cfg.OnOpen = func() {}
 	}
+	if cfg.OnPanic == nil {
+		cfg.OnPanic = func(*rescue.Error) {}
+	}
 	return &Client{
-		cfg:  cfg,
-		idle: make(map[string][]*conn),
+		cfg:        cfg,
+		readHeader: (*fasthttp.ResponseHeader).Read,
+		idle:       make(map[string][]*conn),
 	}
 }
 
@@ -66,13 +78,19 @@
 	MaxIdle clock.Milli
 }
 
-// maxMismatches is the number of answers to other requests that are read before
-// the client gives the connection up.
-const maxMismatches = 4
+const (
+	// maxMismatches is the number of answers to other requests that are read
+	// before the client gives the connection up, and maxInterim that of interim
+	// answers before each.
+	maxMismatches = 4
+	maxInterim    = 8
+	// headBytes is the usual size of a request's header.
+	headBytes = 1 << 10
+)
 
-// Do sends r to addr and returns the complete answer. When ctx ends, the
-// connection is closed at once, which the other end sees as a client
-// disconnect. Errors are of type [*Error]; the kind Unsent guarantees that
+// Do sends r to addr and returns the complete answer, whose body is taken from
+// the hold of ctx. When ctx ends, the connection is closed at once, which the
+// other end sees as a client disconnect. Errors are of type [*Error]; the kind Unsent guarantees that
 // nothing of the request was sent.
 func (c *Client) Do(ctx context.Context, addr string, r *Request, o Options) (guard.Answer, error) {
 	n, err := c.acquire(ctx, addr, o)
@@ -80,7 +98,7 @@
 		return guard.Answer{}, c.newError(ctx, addr, Unsent, err)
 	}
 	stop := context.AfterFunc(ctx, n.abort)
-	a, reusable, err := n.exchange(r, c.cfg.EchoField, c.cfg.MaxBody)
+	a, reusable, err := c.exchange(ctx, n, r)
 	if !stop() {
 		reusable = false
 	}
@@ -95,6 +113,23 @@
 	return a, nil
 }
 
+// exchange makes one exchange on n. A panic meanwhile fails the exchange.
+func (c *Client) exchange(ctx context.Context, n *conn, r *Request) (a guard.Answer, reusable bool, err error) {
+	panicked := rescue.Run("exchange", func() {
+		a, reusable, err = n.exchange(r, reading{
+			header:    c.readHeader,
+			echoField: c.cfg.EchoField,
+			maxBody:   c.cfg.MaxBody,
+			hold:      hold.From(ctx),
+		})
+	})
+	if panicked != nil {
+		c.cfg.OnPanic(panicked)
+		return guard.Answer{}, false, panicked
+	}
+	return a, reusable, err
+}
+
 // Sweep closes the connections that have been idle for too long.
 func (c *Client) Sweep() {
 	now := c.cfg.Clock.Now()
@@ -225,14 +260,25 @@
 	peerIdle clock.Milli
 }
 
-var errMismatched = errors.New("received only answers to other requests")
+var (
+	errMismatched = errors.New("received only answers to other requests")
+	errInterim    = errors.New("received only interim answers")
+)
+
+// reading tells how to read an answer.
+type reading struct {
+	header    func(h *fasthttp.ResponseHeader, br *bufio.Reader) error
+	echoField string
+	maxBody   int
+	hold      *hold.Hold
+}
 
 // exchange sends r and reads its answer. It also reports whether the connection
 // may be reused.
-func (n *conn) exchange(r *Request, echoField string, maxBody int) (guard.Answer, bool, error) {
-	head := appendRequest(make([]byte, 0, 1024+len(r.Body)), r)
+func (n *conn) exchange(r *Request, how reading) (guard.Answer, bool, error) {
 	wrote := make(chan error, 1)
 	if len(r.Body) < asyncWriteBytes {
+		head := appendRequest(make([]byte, 0, headBytes+len(r.Body)), r)
 		_, err := n.raw.Write(append(head, r.Body...))
 		wrote <- err
 		if err != nil && isClosedByPeer(err) {
@@ -244,12 +290,12 @@
 		}
 	} else {
 		go func() {
-			bufs := net.Buffers{head, r.Body}
+			bufs := net.Buffers{appendRequest(make([]byte, 0, headBytes), r), r.Body}
 			_, err := bufs.WriteTo(n.raw)
 			wrote <- err
 		}()
 	}
-	a, reusable, err := n.read(r, echoField, maxBody)
+	a, reusable, err := n.read(r, how)
 	if err != nil {
 		return a, false, err
 	}
@@ -266,30 +312,78 @@
 
 // read reads answers until one belongs to r. It also reports whether the
 // connection may be reused.
-func (n *conn) read(r *Request, echoField string, maxBody int) (guard.Answer, bool, error) {
+func (n *conn) read(r *Request, how reading) (guard.Answer, bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	wantEcho := ""
-	if echoField != "" {
-		wantEcho = r.Get(echoField)
+	if how.echoField != "" {
+		wantEcho = r.Get(how.echoField)
 	}
 	reusable := true
 	for range maxMismatches {
-		resp.Reset()
-		resp.SkipBody = r.Method == fasthttp.MethodHead
-		if err := resp.ReadLimitBody(n.br, maxBody); err != nil {
+		body, err := n.readAnswer(resp, r.Method == fasthttp.MethodHead, how)
+		if err != nil {
 			return guard.Answer{}, false, err
 		}
-		if wantEcho != "" && string(resp.Header.Peek(echoField)) != wantEcho {
+		if wantEcho != "" && string(resp.Header.Peek(how.echoField)) != wantEcho {
+			how.hold.Shrink(cap(body))
 			reusable = false
 			continue
 		}
 		reusable = reusable && n.isReusable(resp)
-		return copyAnswer(resp), reusable, nil
+		return copyAnswer(resp, body), reusable, nil
 	}
 	return guard.Answer{}, false, errMismatched
 }
 
+// readAnswer reads one final answer. It leaves the header in resp and returns
+// the body, which is empty if noBody is set.
+func (n *conn) readAnswer(resp *fasthttp.Response, noBody bool, how reading) ([]byte, error) {
+	h := &resp.Header
+	for range maxInterim {
+		resp.Reset()
+		if err := how.header(h, n.br); err != nil {
+			return nil, err
+		}
+		if status := h.StatusCode(); status < fasthttp.StatusContinue || status >= fasthttp.StatusOK {
+			break
+		}
+	}
+	if !hasBody(h.StatusCode()) {
+		if h.StatusCode() < fasthttp.StatusOK {
+			return nil, errInterim
+		}
+		return nil, nil
+	}
+	if noBody {
+		return nil, nil
+	}
+	length := h.ContentLength()
+	body, err := readBody(n.br, length, how.maxBody, how.hold)
+	if err != nil {
+		return nil, err
+	}
+	if length == lengthChunked {
+		if err := h.ReadTrailer(n.br); err != nil {
+			how.hold.Shrink(cap(body))
+			return nil, unexpected(err)
+		}
+	}
+	if length == lengthUntilClose {
+		h.SetConnectionClose()
+	}
+	return body, nil
+}
+
+// unexpected returns err, or that a message ended too early for the end of a
+// connection.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // isReusable reports whether the connection may be used after the answer.
 func (n *conn) isReusable(resp *fasthttp.Response) bool {
 	if resp.ConnectionClose() || n.br.Buffered() > 0 {
@@ -324,11 +418,16 @@
 func (n *conn) close() { _ = n.raw.Close() }
 
 func kindOf(err error) Kind {
-	var parse fasthttp.ErrBrokenChunk
+	var chunk fasthttp.ErrBrokenChunk
+	var head *fasthttp.ErrSmallBuffer
+	var panicked *rescue.Error
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
 		return Timeout
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errMismatched), errors.As(err, &parse):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.As(err, &head):
+		return TooLarge
+	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadBody), errors.As(err, &chunk),
+		errors.As(err, &panicked):
 		return BadAnswer
 	}
 	return Interrupted
--- a/internal/trans/http1/http1_test.go
+++ b/internal/trans/http1/http1_test.go
@@ -31,6 +31,13 @@
 
 // serve starts a server and returns its address.
 func serve(t *testing.T, cfg ServerConfig) string {
+	t.Helper()
+	_, addr := startServer(t, cfg)
+	return addr
+}
+
+// startServer starts a server and returns it with its address.
+func startServer(t *testing.T, cfg ServerConfig) (*Server, string) {
 	t.Helper()
 	cfg.Clock = clock.System()
 	if cfg.Limits == nil {
@@ -39,19 +46,24 @@
 	if cfg.MayPipeline == nil {
 		cfg.MayPipeline = func(r *Request) bool { return r.Method == "GET" }
 	}
-	cfg.Malformed = func(status int, err error) guard.Answer {
-		return guard.Answer{
+	cfg.Malformed = func(r *Request, status int, err error) guard.Answer {
+		a := guard.Answer{
 			Status: status,
 			Body:   []byte(err.Error()),
 		}
+		if r != nil {
+			a.Fields = WithField(nil, echoField, r.Get(echoField))
+		}
+		return a
 	}
 	l, err := Listen("127.0.0.1:0", clock.System())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go NewServer(cfg).Serve(l)
-	return l.Addr().String()
+	s := NewServer(cfg)
+	go s.Serve(l)
+	return s, l.Addr().String()
 }
 
 func answer(status int, body string) Reply {
--- a/internal/trans/http1/message.go
+++ b/internal/trans/http1/message.go
@@ -24,6 +24,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -43,6 +44,8 @@
 	Arrived clock.Milli
 
 	close bool
+	// hold is the memory of the body.
+	hold *hold.Hold
 }
 
 // Get returns the value of the first field with the name, "" if there is none.
@@ -97,9 +100,8 @@
 	return false
 }
 
-// copyRequest copies a request out of the library's buffers.
-func copyRequest(req *fasthttp.Request) *Request {
-	h := &req.Header
+// copyRequest returns a request without a body, with a copy of the header.
+func copyRequest(h *fasthttp.RequestHeader) *Request {
 	r := &Request{
 		Method: string(h.Method()),
 		Host:   string(h.Host()),
@@ -117,7 +119,6 @@
 			Value: string(value),
 		})
 	}
-	r.Body = append([]byte(nil), req.Body()...)
 	return r
 }
 
@@ -135,12 +136,13 @@
 	return names
 }
 
-// copyAnswer copies an answer out of the library's buffers.
-func copyAnswer(resp *fasthttp.Response) guard.Answer {
+// copyAnswer returns an answer with a copy of the header in resp and the body.
+func copyAnswer(resp *fasthttp.Response, body []byte) guard.Answer {
 	h := &resp.Header
 	a := guard.Answer{
 		Status: h.StatusCode(),
 		Fields: make([]guard.Field, 0, 8),
+		Body:   body,
 	}
 	for name, value := range h.All() {
 		if isHopByHop(string(name)) || len(value) == 0 {
@@ -151,7 +153,6 @@
 			Value: string(value),
 		})
 	}
-	a.Body = append([]byte(nil), resp.Body()...)
 	return a
 }
 
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/hold"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -39,8 +41,16 @@
 	// MayPipeline reports whether r may be handled while earlier requests of
 	// its connection are unanswered.
 	MayPipeline func(r *Request) bool
-	// Malformed returns the answer to input that is not a valid request.
-	Malformed func(status int, err error) guard.Answer
+	// Malformed returns the answer to input that is not a valid request or
+	// exceeds a bound. r has the header, or is nil if that was not read.
+	Malformed func(r *Request, status int, err error) guard.Answer
+	// Requests and Answers bound the memory of the bodies of requests, and of
+	// the answers that handlers receive for them, until the reply is written.
+	// nil means that there is no bound.
+	Requests *hold.Pool
+	Answers  *hold.Pool
+	// OnPanic is called with a panic that ended a connection; nil ignores them.
+	OnPanic func(*rescue.Error)
 }
 
 // Server serves connections. It is safe for concurrent use.
@@ -49,6 +59,8 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// reading counts the connections that may still deliver requests.
+	reading atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*session]struct{}
@@ -60,6 +72,9 @@
 	// lingerTime is how long a closing connection is still read. Closing it with
 	// unread bytes would reset it, and the client could lose the last answer.
 	lingerTime = clock.Second
+	// idleCheckTime is how long a connection that is to close when idle waits
+	// for a request that is on the way.
+	idleCheckTime = clock.Millisecond
 	// writeTimeout is the time that a client has to read one answer.
 	writeTimeout = 20 * clock.Second
 	// headerSlackBytes is added to the longest header for the size of a read
@@ -71,6 +86,9 @@
 
 // NewServer returns a server without connections.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.OnPanic == nil {
+		cfg.OnPanic = func(*rescue.Error) {}
+	}
 	return &Server{
 		cfg:   cfg,
 		conns: make(map[*session]struct{}),
@@ -93,34 +111,39 @@
 // arrived only in part.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Reading returns the number of connections that may still deliver requests.
+func (s *Server) Reading() int64 { return s.reading.Load() }
+
 // IsIdle reports whether no request is unanswered and no connection has unread
 // bytes.
 func (s *Server) IsIdle() bool {
-	if s.InFlight() > 0 {
-		return false
-	}
+	// A request is counted as in flight after its first bytes are taken from the
+	// socket, so the sockets are looked at first.
+	return !s.isReadable() && s.InFlight() == 0
+}
+
+func (s *Server) isReadable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if sock.Peek(c.raw) == sock.Readable {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Stop makes each connection close after its next answer, or after the usual
 // idle timeout if no request comes. New requests are still handled.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// CloseIdle closes the connections without an unanswered request.
+// CloseIdle makes each connection close as soon as it has no unanswered request
+// and no unread bytes, which is at once for idle ones. It does not wait.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.unanswered.Load() == 0 {
-			_ = c.raw.Close()
-		}
+		c.closeWhenIdle()
 	}
 }
 
@@ -145,6 +168,7 @@
 		writerDone: make(chan struct{}),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	s.reading.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -155,9 +179,14 @@
 func (s *Server) serve(c *session) {
 	defer c.cancel()
 	go c.writeLoop()
-	c.readLoop()
+	if err := rescue.Run("read requests", c.readLoop); err != nil {
+		s.cfg.OnPanic(err)
+		c.closing.Store(true)
+	}
+	s.reading.Add(-1)
 	close(c.replies)
 	<-c.writerDone
+	c.discardInput()
 	_ = c.raw.Close()
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -6,11 +6,16 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/hold"
+	"siskinswitch.example/siskin/internal/state/rescue"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -28,6 +33,15 @@
 	cancel context.CancelFunc
 	// closing is set before the last answer is written.
 	closing atomic.Bool
+	// closesIdle is set when the connection is to close once it is idle.
+	closesIdle atomic.Bool
+	// mu orders the read deadlines of the reader and of closeWhenIdle. It guards
+	// inRequest, which is set while the reader reads a request of which the first
+	// byte has arrived.
+	mu        sync.Mutex
+	inRequest bool
+	// lingers is set when the connection was closed for writing only.
+	lingers atomic.Bool
 	// writerDone is closed when nothing more will be written.
 	writerDone chan struct{}
 }
@@ -42,17 +56,32 @@
 	close bool
 	// noBody omits the body of the answer, as HEAD requires.
 	noBody bool
+	// request and answers are the memory that the request holds until its reply
+	// was written or discarded.
+	request *hold.Hold
+	answers *hold.Hold
 }
 
-func newPendingReply(r *Request) *pendingReply {
+func (c *session) newPendingReply(r *Request) *pendingReply {
 	return &pendingReply{
 		reply:    make(chan Reply, 1),
 		finished: make(chan struct{}),
 		close:    r.close,
 		noBody:   r.Method == fasthttp.MethodHead,
+		request:  r.hold,
+		answers:  c.server.cfg.Answers.Open(),
 	}
 }
 
+// finish ends a request whose reply was written or discarded.
+func (c *session) finish(p *pendingReply) {
+	close(p.finished)
+	p.request.Release()
+	p.answers.Release()
+	c.unanswered.Add(-1)
+	c.server.inFlight.Add(-1)
+}
+
 // readLoop reads requests and starts their handlers. It goes on reading while
 // they run, because only a read detects that the client disconnects.
 func (c *session) readLoop() {
@@ -60,24 +89,13 @@
 	for {
 		r, err := c.nextRequest()
 		if err != nil {
-			c.handleReadError(err)
+			c.handleReadError(r, err)
 			return
 		}
-		if last != nil && !c.server.cfg.MayPipeline(r) {
-			// If an earlier answer closes the connection, the client sends the
-			// requests behind it again. So this request, which must not run
-			// twice, has to wait for that answer.
-			<-last.finished
-		}
-		if c.closing.Load() {
-			c.server.inFlight.Add(-1)
+		last = c.startHandler(r, last)
+		if last == nil {
 			return
 		}
-		p := newPendingReply(r)
-		last = p
-		c.unanswered.Add(1)
-		c.replies <- p
-		go func() { p.reply <- c.server.cfg.Handle(c.ctx, r) }()
 		if r.close {
 			c.awaitDisconnect()
 			return
@@ -85,6 +103,48 @@
 	}
 }
 
+// startHandler starts the handler of a request that was read behind the one of
+// earlier, which may be nil. It returns nil if the connection is closing.
+func (c *session) startHandler(r *Request, earlier *pendingReply) *pendingReply {
+	p := c.newPendingReply(r)
+	started := false
+	defer func() {
+		if !started {
+			c.server.inFlight.Add(-1)
+			p.request.Release()
+		}
+	}()
+	if earlier != nil && !c.server.cfg.MayPipeline(r) {
+		// If an earlier answer closes the connection, the client sends the
+		// requests behind it again. So this request, which must not run
+		// twice, has to wait for that answer.
+		<-earlier.finished
+	}
+	if c.closing.Load() {
+		return nil
+	}
+	started = true
+	c.unanswered.Add(1)
+	c.replies <- p
+	go c.handle(p, r)
+	return p
+}
+
+// handle runs the handler of a request. A panic resets the connection, which
+// promises nothing about the request.
+func (c *session) handle(p *pendingReply, r *Request) {
+	reply := Reply{
+		Drop: true,
+	}
+	err := rescue.Run("handle a request", func() {
+		reply = c.server.cfg.Handle(hold.With(c.ctx, p.answers), r)
+	})
+	if err != nil {
+		c.server.cfg.OnPanic(err)
+	}
+	p.reply <- reply
+}
+
 // awaitDisconnect waits until the client disconnects, and then cancels the
 // handlers that still run. The client has announced its last request, so
 // whatever else it sends is discarded.
@@ -104,39 +164,63 @@
 		return nil, err
 	}
 	c.server.inFlight.Add(1)
+	c.setInRequest(true)
+	isComplete := false
+	defer func() {
+		c.setInRequest(false)
+		if !isComplete {
+			c.server.inFlight.Add(-1)
+		}
+	}()
 	r, err := c.readRequest()
-	if err != nil {
-		c.server.inFlight.Add(-1)
-	}
+	isComplete = err == nil
 	return r, err
 }
 
-// readRequest reads one complete request whose first byte has arrived.
+// readRequest reads one complete request whose first byte has arrived. With an
+// error it returns what it has read of the request, nil if its header is not
+// complete.
 func (c *session) readRequest() (*Request, error) {
 	limits := c.server.cfg.Limits()
 	c.setReadDeadline(limits.ReadTimeout)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetNoDefaultContentType(true)
-	if err := req.Header.Read(c.br); err != nil {
+	h := &req.Header
+	h.SetNoDefaultContentType(true)
+	if err := h.Read(c.br); err != nil {
 		return nil, err
 	}
-	arrived := c.server.cfg.Clock.Now()
-	if string(req.Header.Peek("Expect")) != "" && c.unanswered.Load() == 0 {
+	r := copyRequest(h)
+	r.From = c.raw.RemoteAddr().String()
+	r.Arrived = c.server.cfg.Clock.Now()
+	if string(h.Peek("Expect")) != "" && c.unanswered.Load() == 0 {
 		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
 	}
-	if req.Header.ContentLength() != 0 {
-		_ = c.raw.SetReadDeadline(time.Time{})
-		if err := req.ContinueReadBody(c.br, limits.MaxBody, false); err != nil {
-			return nil, err
+	return r, c.readBody(r, h, limits.MaxBody)
+}
+
+// readBody reads the body of r, whose header is h.
+func (c *session) readBody(r *Request, h *fasthttp.RequestHeader, limit int) error {
+	length := h.ContentLength()
+	if length == 0 || length == lengthUntilClose {
+		return nil
+	}
+	_ = c.raw.SetReadDeadline(time.Time{})
+	r.hold = c.server.cfg.Requests.Open()
+	body, err := readBody(c.br, length, limit, r.hold)
+	if err != nil {
+		return err
+	}
+	if length == lengthChunked {
+		if err := h.ReadTrailer(c.br); err != nil {
+			r.hold.Release()
+			return unexpected(err)
 		}
 	}
-	r := copyRequest(req)
-	r.From = c.raw.RemoteAddr().String()
-	r.Arrived = arrived
-	return r, nil
+	r.Body = body
+	return nil
 }
 
 // awaitRequest waits for the first byte of a request. It returns errIdle if the
@@ -152,7 +236,7 @@
 		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
 			return err
 		}
-		if c.closing.Load() {
+		if c.closing.Load() || c.isToClose() {
 			return errIdle
 		}
 		passed := c.server.cfg.Clock.Now() - start
@@ -163,16 +247,45 @@
 	return nil
 }
 
+// closeWhenIdle makes the connection close once it is idle. It wakes a reader
+// that waits for a request.
+func (c *session) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closesIdle.Store(true)
+	if !c.inRequest {
+		_ = c.raw.SetReadDeadline(time.Now())
+	}
+}
+
+// isToClose reports whether the connection is to close when idle, and is idle.
+func (c *session) isToClose() bool {
+	return c.closesIdle.Load() && c.unanswered.Load() == 0 && sock.Peek(c.raw) != sock.Readable
+}
+
+// setInRequest tells closeWhenIdle whether a request is being read.
+func (c *session) setInRequest(inRequest bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRequest = inRequest
+}
+
 func (c *session) setReadDeadline(d clock.Milli) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closing.Load() {
 		return
 	}
+	if c.closesIdle.Load() && !c.inRequest && c.unanswered.Load() == 0 {
+		d = idleCheckTime
+	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(d.Duration()))
 }
 
 // handleReadError ends the reading side of the connection. Input that is not a
-// valid request is answered; a disconnect cancels the running handlers.
-func (c *session) handleReadError(err error) {
+// valid request is answered, with the header in r if that was read; a
+// disconnect cancels the running handlers.
+func (c *session) handleReadError(r *Request, err error) {
 	if errors.Is(err, errIdle) || c.closing.Load() {
 		return
 	}
@@ -181,15 +294,16 @@
 		c.cancel()
 		return
 	}
-	p := newPendingReply(&Request{
+	reply := Reply{
+		Answer: c.server.cfg.Malformed(r, status, err),
+		Close:  true,
+	}
+	p := c.newPendingReply(&Request{
 		close: true,
 	})
 	c.unanswered.Add(1)
 	c.server.inFlight.Add(1)
-	p.reply <- Reply{
-		Answer: c.server.cfg.Malformed(status, err),
-		Close:  true,
-	}
+	p.reply <- reply
 	c.replies <- p
 }
 
@@ -204,6 +318,8 @@
 		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &nothing), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
 		errors.Is(err, net.ErrClosed):
 		return 0
@@ -222,9 +338,7 @@
 		if !closed {
 			closed = !c.writeReply(p, reply)
 		}
-		close(p.finished)
-		c.unanswered.Add(-1)
-		c.server.inFlight.Add(-1)
+		c.finish(p)
 	}
 	if !closed && !c.closing.Load() {
 		c.closeGracefully()
@@ -238,16 +352,11 @@
 		c.reset()
 		return false
 	}
-	closes := reply.Close || p.close || c.server.stopping.Load()
+	closes := reply.Close || p.close || c.closesIdle.Load() || c.server.stopping.Load()
 	if closes {
 		c.closing.Store(true)
 	}
-	buf := appendAnswer(make([]byte, 0, 512+len(reply.Body)), &reply.Answer, closes)
-	if hasBody(reply.Status) && !p.noBody {
-		buf = append(buf, reply.Body...)
-	}
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
-	if _, err := c.raw.Write(buf); err != nil {
+	if err := c.writeAnswer(&reply.Answer, p.noBody, closes); err != nil {
 		c.closing.Store(true)
 		c.reset()
 		return false
@@ -259,6 +368,24 @@
 	return true
 }
 
+// writeAnswer writes an answer, without its body if noBody is set.
+func (c *session) writeAnswer(a *guard.Answer, noBody, closes bool) error {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	body := a.Body
+	if noBody || !hasBody(a.Status) {
+		body = nil
+	}
+	if len(body) >= asyncWriteBytes {
+		// A long body is not copied to be written together with the header.
+		bufs := net.Buffers{appendAnswer(make([]byte, 0, headBytes), a, closes), body}
+		_, err := bufs.WriteTo(c.raw)
+		return err
+	}
+	buf := appendAnswer(make([]byte, 0, headBytes+len(body)), a, closes)
+	_, err := c.raw.Write(append(buf, body...))
+	return err
+}
+
 // reset resets the connection and cancels its handlers.
 func (c *session) reset() {
 	c.cancel()
@@ -269,8 +396,8 @@
 }
 
 // closeGracefully closes the connection after its last answer. It closes the
-// writing direction and discards input for lingerTime, because closing with
-// unread bytes would reset the connection and lose the answer.
+// writing direction only, because closing with unread bytes would reset the
+// connection and lose the answer; discardInput reads the rest.
 func (c *session) closeGracefully() {
 	c.closing.Store(true)
 	c.cancel()
@@ -278,8 +405,15 @@
 		_ = w.CloseWrite()
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime.Duration()))
-	go func() {
-		<-time.After(lingerTime.Duration())
-		_ = c.raw.Close()
-	}()
+	c.lingers.Store(true)
+	// The reader may be about to set a later deadline.
+	time.AfterFunc(lingerTime.Duration(), func() { _ = c.raw.Close() })
+}
+
+// discardInput reads, for lingerTime at most, what the client still sends on a
+// connection that was closed gracefully.
+func (c *session) discardInput() {
+	if c.lingers.Load() {
+		_, _ = io.Copy(io.Discard, c.raw)
+	}
 }
