Keep a repeated request off the connections that carried it before

Cause: a target may send a second copy of an answer late, when the connection is in use again. Answers are told apart by the id that they echo, but a request that is sent again to the same target has the same id. A copied 'not run' was then taken for the end of the second try, which runs: the caller is told a refusal that is not true, and a once-only request may run twice.

Change: a connection remembers the ids of its last eight exchanges, and an exchange is not made on one that carried its id. Ruled out: a new connection for each retry, since new connections are dear to targets; most retries find another idle one.

--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -9,12 +9,14 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/state/guard"
@@ -84,6 +86,9 @@
 	// answers before each.
 	maxMismatches = 4
 	maxInterim    = 8
+	// recentEchoes is the number of exchanges for which a connection remembers
+	// the echo.
+	recentEchoes = 8
 	// headBytes is the usual size of a request's header.
 	headBytes = 1 << 10
 )
@@ -93,10 +98,12 @@
 // other end sees as a client disconnect. Errors are of type [*Error]; the kind Unsent guarantees that
 // nothing of the request was sent.
 func (c *Client) Do(ctx context.Context, addr string, r *Request, o Options) (guard.Answer, error) {
-	n, err := c.acquire(ctx, addr, o)
+	echo := c.echoOf(r)
+	n, err := c.acquire(ctx, addr, echo, o)
 	if err != nil {
 		return guard.Answer{}, c.newError(ctx, addr, Unsent, err)
 	}
+	n.record(echo)
 	stop := context.AfterFunc(ctx, n.abort)
 	a, reusable, err := c.exchange(ctx, n, r)
 	if !stop() {
@@ -113,6 +120,19 @@
 	return a, nil
 }
 
+// echoOf returns the hash of the value that the answer to r echoes, 0 if there is
+// none.
+func (c *Client) echoOf(r *Request) uint64 {
+	if c.cfg.EchoField == "" {
+		return 0
+	}
+	value := r.Get(c.cfg.EchoField)
+	if value == "" {
+		return 0
+	}
+	return max(xxhash.Sum64String(value), 1)
+}
+
 // exchange makes one exchange on n. A panic meanwhile fails the exchange.
 func (c *Client) exchange(ctx context.Context, n *conn, r *Request) (a guard.Answer, reusable bool, err error) {
 	panicked := rescue.Run("exchange", func() {
@@ -166,11 +186,11 @@
 	}
 }
 
-// acquire returns a connection for one exchange. It prefers the connection used
-// last, so that surplus connections reach their idle timeout.
-func (c *Client) acquire(ctx context.Context, addr string, o Options) (*conn, error) {
+// acquire returns a connection for an exchange with the echo. It prefers the
+// connection used last, so that surplus connections reach their idle timeout.
+func (c *Client) acquire(ctx context.Context, addr string, echo uint64, o Options) (*conn, error) {
 	for !o.Fresh {
-		n := c.pop(addr)
+		n := c.pop(addr, echo)
 		if n == nil {
 			break
 		}
@@ -197,16 +217,20 @@
 	}, nil
 }
 
-func (c *Client) pop(addr string) *conn {
+// pop removes and returns the connection used last that has not carried the echo
+// lately, or nil. On one that has, a late second copy of the earlier answer could
+// not be told from the answer to this request.
+func (c *Client) pop(addr string, echo uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i, n := range slices.Backward(conns) {
+		if !n.hasCarried(echo) {
+			c.idle[addr] = slices.Delete(conns, i, i+1)
+			return n
+		}
 	}
-	n := conns[len(conns)-1]
-	c.idle[addr] = conns[:len(conns)-1]
-	return n
+	return nil
 }
 
 func (c *Client) release(addr string, n *conn) {
@@ -258,8 +282,21 @@
 	// peerIdle is the idle timeout that the other end announced, less a margin;
 	// 0 if it announced none.
 	peerIdle clock.Milli
+	// recent holds the echoes of the last exchanges, the next one at position
+	// exchanges modulo its length.
+	recent    [recentEchoes]uint64
+	exchanges int
 }
 
+// record remembers the echo of an exchange.
+func (n *conn) record(echo uint64) {
+	n.recent[n.exchanges%recentEchoes] = echo
+	n.exchanges++
+}
+
+// hasCarried reports whether one of the last exchanges had the echo.
+func (n *conn) hasCarried(echo uint64) bool { return echo != 0 && slices.Contains(n.recent[:], echo) }
+
 var (
 	errMismatched = errors.New("received only answers to other requests")
 	errInterim    = errors.New("received only interim answers")
