Leave kept connections with unread bytes, and give a second try the rest of the wait

Cause: the pool of the /service/operation interface looked only whether the peer had closed a kept connection. A second copy of an answer that came while the connection was idle was read as the answer to the next request; targets need not echo the attempt. An exchange that was moved to a new connection got its whole wait again.

Change: unread bytes make a kept connection unusable; one deadline holds for both tries.

Measured: TestPoolLeavesConnectionsWithExtraAnswers (exchange 2 got answer 1) and TestSecondTryKeepsTheWait (701 ms of 400 ms) fail before and pass.

--- a/internal/trans/pool/pool.go
+++ b/internal/trans/pool/pool.go
@@ -38,9 +38,9 @@
 	Interrupted
 )
 
-// errStale means that the peer closed a kept connection before any byte of the
-// request was written to it.
-var errStale = errors.New("the kept connection was closed by its peer")
+// errStale means that the peer closed a kept connection, or sent bytes that belong
+// to no request, before any byte of the request was written to it.
+var errStale = errors.New("the kept connection can't be used any more")
 
 // Error is the error type of this package.
 type Error struct {
@@ -135,12 +135,13 @@
 			Err:  fasthttp.ErrTimeout,
 		}
 	}
-	err := c.DoTimeout(req, resp, wait.Duration())
+	deadline := time.Now().Add(wait.Duration())
+	err := c.DoDeadline(req, resp, deadline)
 	if errors.Is(err, errStale) {
 		// The peer may have closed the other kept connections too. Nothing was
 		// sent, so the exchange may be made on a new one.
 		c.CloseIdleConnections()
-		err = c.DoTimeout(req, resp, wait.Duration())
+		err = c.DoDeadline(req, resp, deadline)
 	}
 	if err != nil {
 		return &Error{
@@ -215,7 +216,8 @@
 // strictConn reports the end of the connection within an answer as an error. The
 // library would otherwise accept a body that is delimited only by the end of the
 // connection, where a truncated body looks complete. strictConn also refuses to
-// begin a request on a connection that the peer has closed.
+// begin a request on a connection that the peer has closed or that has unread
+// bytes, such as a late second copy of an answer.
 type strictConn struct {
 	net.Conn
 	// answering is set from the first byte of an answer to the next request.
@@ -223,7 +225,7 @@
 }
 
 func (c *strictConn) Write(b []byte) (int, error) {
-	if c.answering && sock.Peek(c.Conn) == sock.Closed {
+	if c.answering && sock.Peek(c.Conn) != sock.Open {
 		return 0, errStale
 	}
 	c.answering = false
--- a/internal/trans/pool/pool_test.go
+++ b/internal/trans/pool/pool_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -135,6 +137,94 @@
 	}
 }
 
+// TestPoolLeavesConnectionsWithExtraAnswers guards against taking a late second
+// copy of an answer for the answer to the next request on its connection.
+func TestPoolLeavesConnectionsWithExtraAnswers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	copied := make(chan bool, 8)
+	var count atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				buf := make([]byte, 4096)
+				for {
+					if _, err := conn.Read(buf); err != nil {
+						return
+					}
+					text := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + strconv.FormatInt(count.Add(1), 10)
+					_, _ = io.WriteString(conn, text)
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(conn, text)
+					copied <- true
+				}
+			}()
+		}
+	}()
+	p := New(testConfig())
+	for i := range 3 {
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.SetRequestURI("http://" + ln.Addr().String() + "/")
+		if err := p.Do(ln.Addr().String(), &req, &resp, 2*clock.Second); err != nil {
+			t.Fatalf("exchange %d: %v", i+1, err)
+		}
+		if want := strconv.Itoa(i + 1); string(resp.Body()) != want {
+			t.Fatalf("exchange %d got answer %q", i+1, resp.Body())
+		}
+		<-copied
+	}
+}
+
+// TestSecondTryKeepsTheWait checks that an exchange whose kept connection was
+// closed by the peer, and which is made on a new one, ends within its wait.
+func TestSecondTryKeepsTheWait(t *testing.T) {
+	const (
+		wait  = 400 * clock.Millisecond
+		delay = 300 * time.Millisecond
+	)
+	addr, _ := rawServer(t, "", false)
+	var dials atomic.Int64
+	cfg := testConfig()
+	cfg.Connect = func(addr string, timeout time.Duration) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			time.Sleep(delay)
+			ours, _ := net.Pipe()
+			return &staleConn{
+				Conn: ours,
+			}, nil
+		}
+		return connectTCP(addr, timeout)
+	}
+	began := time.Now()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://" + addr + "/")
+	err := New(cfg).Do(addr, &req, &resp, wait)
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Kind != Timeout {
+		t.Fatalf("error %v, want kind %d", err, Timeout)
+	}
+	if took := time.Since(began); took > wait.Duration()+delay/2 {
+		t.Errorf("the exchange took %v of %v", took, wait.Duration())
+	}
+}
+
+// staleConn is a connection that its peer has closed.
+type staleConn struct {
+	net.Conn
+}
+
+func (c *staleConn) Write([]byte) (int, error) { return 0, errStale }
+
 func TestPoolUnsentWhenNobodyListens(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
