Ignore SIGHUP in a daemon that was started with -settings

Cause: the runtime's default for SIGHUP ends the process.

'siskind side' reads its own again, as before.

Measured: TestHangupDoesNotStop, new, in a process that gets the signal; it does not build on the code before, where the signal is not handled at all.

--- a/cmd/siskind/main.go
+++ b/cmd/siskind/main.go
@@ -3,7 +3,9 @@
 // It takes the flag -settings FILE, or the single word "side" to run on the
 // users' platform, where an environment variable names the settings file. The
 // exit code is 0 after a graceful stop by SIGTERM or SIGINT, 2 for invalid
-// arguments or settings, and 1 if the daemon can't start.
+// arguments or settings, and 1 if the daemon can't start. SIGHUP makes "side"
+// read its settings again; otherwise it is logged and ignored, so that the end of
+// an operator's session does not end the daemon.
 package main
 
 import (
@@ -20,6 +22,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"siskinswitch.example/siskin/internal/daemon"
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -49,7 +52,7 @@
 		_, _ = fmt.Fprintf(stderr, "siskind: %v\n", err)
 		return exitUsage
 	}
-	if err := run(set); err != nil {
+	if err := run(set, notifySignals()); err != nil {
 		_, _ = fmt.Fprintf(stderr, "siskind: %v\n", dig.RootCause(err))
 		return exitFailed
 	}
@@ -75,11 +78,23 @@
 	return set, nil
 }
 
+// signalBuffer is the number of signals that can be pending; more are dropped.
+const signalBuffer = 4
+
+// notifySignals returns the channel of the signals that the daemon handles. Those
+// that arrive earlier end the process.
+func notifySignals() chan os.Signal {
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 // run builds the daemon and runs it until a signal stops it.
-func run(set daemon.Settings) error {
+func run(set daemon.Settings, signals chan os.Signal) error {
 	c := dig.New()
 	for _, provider := range []any{
 		func() daemon.Settings { return set },
+		func() chan os.Signal { return signals },
 		clock.System,
 		newLogger,
 		newConfig,
@@ -119,15 +134,23 @@
 }
 
 // serve starts the daemon and stops it on a signal.
-func serve(d *daemon.Daemon, log *zap.Logger) error {
+func serve(d *daemon.Daemon, log *zap.Logger, signals chan os.Signal) error {
 	// Logs go to standard error, which may not support Sync.
 	defer func() { _ = log.Sync() }()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	if err := d.Start(); err != nil {
 		return err
 	}
-	<-stop
+	awaitStop(signals, log)
 	d.Stop()
 	return nil
 }
+
+// awaitStop waits for a signal that stops the daemon.
+func awaitStop(signals <-chan os.Signal, log *zap.Logger) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			return
+		}
+		event.Info(log, event.HangupIgnored)
+	}
+}
--- a/cmd/siskind/main_test.go
+++ b/cmd/siskind/main_test.go
@@ -3,9 +3,15 @@
 import (
 	"bytes"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // TestUsageExits checks that invalid arguments and settings end the program
@@ -45,3 +51,37 @@
 		})
 	}
 }
+
+// TestHangupDoesNotStop sends SIGHUP to this process, which ends it unless it is
+// handled, and checks that the daemon logs it and stops for SIGTERM only.
+func TestHangupDoesNotStop(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	signals := notifySignals()
+	defer signal.Stop(signals)
+	stopped := make(chan struct{})
+	go func() {
+		awaitStop(signals, zap.New(core))
+		close(stopped)
+	}()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); lines.Len() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("SIGHUP was not logged")
+		}
+	}
+	select {
+	case <-stopped:
+		t.Fatal("the daemon stops for SIGHUP")
+	default:
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the daemon does not stop for SIGTERM")
+	}
+}
--- a/cmd/siskind/side.go
+++ b/cmd/siskind/side.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -21,22 +20,15 @@
 // runs as a sidecar.
 const sideCommand = "side"
 
-const (
-	// settingsEvery is the interval at which the settings file is read again,
-	// since it may change without a signal.
-	settingsEvery = 2 * clock.Second
-	// signalBuffer is the number of signals that can be pending; more are
-	// dropped.
-	signalBuffer = 4
-)
+// settingsEvery is the interval at which the settings file is read again, since
+// it may change without a signal.
+const settingsEvery = 2 * clock.Second
 
 // startSide runs the daemon on the users' platform and returns the program's
 // exit code.
 func startSide(stderr io.Writer) int {
-	// Signals are caught before the settings are read. One that arrives earlier
-	// ends the process.
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Signals are caught before the settings are read.
+	signals := notifySignals()
 	set, err := readSideSettings()
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "siskind: %v\n", err)
