Mend what readers of the code had left

- The line about an attempt has the threshold that its answer states; it was written before that of the services below was merged in.
- Event 303 says what record was refuted; its detail was empty.
- A speed of 0 in the settings of siskinfake is refused, as its message said.
- A number that neither register nor base has is known by its field, not by the text of a problem.
- Unused: diag.Summary.Unreadable, admit.Request.offered. view.Member.AliveSince is documented as it is filled.

--- a/cmd/siskinfake/fleet_test.go
+++ b/cmd/siskinfake/fleet_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -55,3 +57,36 @@
 	}
 	return addrs
 }
+
+// TestSpeedsInSettings checks which speeds of a target a settings file may have.
+func TestSpeedsInSettings(t *testing.T) {
+	tests := map[string]struct {
+		field string
+		want  string
+	}{
+		"left out": {},
+		"slow": {
+			field: `, "speed": 0.1`,
+		},
+		"zero": {
+			field: `, "speed": 0`,
+			want:  "targets[0].speed is 0; it must be above 0",
+		},
+		"negative": {
+			field: `, "speed": -1`,
+			want:  "targets[0].speed is -1; it must be above 0",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "fakes.json")
+			if err := os.WriteFile(path, []byte(`{"targets": [{"name": "a"`+tt.field+`}]}`), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := readSettings(path)
+			if got := fmt.Sprint(err); tt.want == "" && err != nil || !strings.Contains(got, tt.want) {
+				t.Errorf("error %v, want %q", err, tt.want)
+			}
+		})
+	}
+}
--- a/cmd/siskinfake/settings.go
+++ b/cmd/siskinfake/settings.go
@@ -13,8 +13,8 @@
 // maxSpeed is the highest speed of a target, as a multiple of the normal one.
 const maxSpeed = 1000
 
-// isValidSpeed reports whether v is a valid speed; 0 means the normal speed.
-func isValidSpeed(v float64) bool { return v >= 0 && v <= maxSpeed }
+// isValidSpeed reports whether v is a valid speed.
+func isValidSpeed(v float64) bool { return v > 0 && v <= maxSpeed }
 
 // settings is the content of a settings file: the fakes to start.
 type settings struct {
@@ -51,8 +51,8 @@
 	Cold       fakes.ColdStart            `json:"cold"`
 	ReportLag  clock.Milli                `json:"reportLag,omitempty"`
 	Seed       uint64                     `json:"seed,omitempty"`
-	// Speed is the speed of the target; zero means 1, the normal speed.
-	Speed float64 `json:"speed,omitempty"`
+	// Speed is the speed of the target, above 0; nil means 1, the normal speed.
+	Speed *float64 `json:"speed,omitempty"`
 }
 
 func (s targetSettings) config() fakes.TargetConfig {
@@ -83,8 +83,8 @@
 		return settings{}, fmt.Errorf("%s: %w", path, err)
 	}
 	for i, t := range s.Targets {
-		if !isValidSpeed(t.Speed) {
-			return settings{}, fmt.Errorf("%s: targets[%d].speed is %v; it must be above 0 and at most %d", path, i, t.Speed, maxSpeed)
+		if speed := t.speedOrDefault(); !isValidSpeed(speed) {
+			return settings{}, fmt.Errorf("%s: targets[%d].speed is %v; it must be above 0 and at most %d", path, i, speed, maxSpeed)
 		}
 	}
 	return s, nil
--- a/cmd/siskinfake/speed.go
+++ b/cmd/siskinfake/speed.go
@@ -45,7 +45,7 @@
 	}
 	path, name := f.Arg(0), f.Arg(1)
 	speed, err := strconv.ParseFloat(f.Arg(2), 64)
-	if err != nil || !isValidSpeed(speed) || speed == 0 {
+	if err != nil || !isValidSpeed(speed) {
 		return usageError("speed", "the speed is %q; it must be above 0 and at most %d", f.Arg(2), maxSpeed)
 	}
 	s, err := readSettings(path)
@@ -56,7 +56,7 @@
 	for i := range s.Targets {
 		t := &s.Targets[i]
 		if t.Name == name || t.serves(name) {
-			t.Speed = speed
+			t.Speed = &speed
 			changed = append(changed, t.Name)
 		}
 	}
@@ -82,10 +82,10 @@
 
 // speedOrDefault returns the speed of the target, or 1 if none is set.
 func (s targetSettings) speedOrDefault() float64 {
-	if s.Speed == 0 {
+	if s.Speed == nil {
 		return 1
 	}
-	return s.Speed
+	return *s.Speed
 }
 
 // followSpeeds applies changes of speeds in the settings file at path to running
--- a/internal/coord/agent/agent_test.go
+++ b/internal/coord/agent/agent_test.go
@@ -289,3 +289,32 @@
 		}
 	})
 }
+
+// TestRefutedEventSaysWhat checks that the event about a refuted record tells
+// operators what the record said.
+func TestRefutedEventSaysWhat(t *testing.T) {
+	a := newAgent(nil)
+	var details []string
+	a.cfg.Report = func(e Event) {
+		if e.Kind == Refuted {
+			details = append(details, e.Detail)
+		}
+	}
+	self := peer(0).Host
+	a.Receive(1, peer(1).Host, Message{
+		Incarnation: 7,
+		Member: member.Part{
+			Records: []member.Record{
+				{
+					Host:        self,
+					Incarnation: 5,
+					Revision:    9,
+					State:       member.Suspect,
+				},
+			},
+		},
+	})
+	if want := "called suspect, incarnation 5"; len(details) != 1 || details[0] != want {
+		t.Errorf("details %q, want one: %q", details, want)
+	}
+}
--- a/internal/coord/agent/event.go
+++ b/internal/coord/agent/event.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"fmt"
+
 	"siskinswitch.example/siskin/internal/coord/leave"
 	"siskinswitch.example/siskin/internal/coord/member"
 	"siskinswitch.example/siskin/internal/coord/spread"
@@ -63,10 +65,11 @@
 func (a *Agent) refuted(now clock.Milli, r member.Record) {
 	a.dirty = true
 	a.report(Event{
-		Kind:  Refuted,
-		At:    now,
-		Host:  r.Host,
-		State: r.State,
+		Kind:   Refuted,
+		At:     now,
+		Host:   r.Host,
+		State:  r.State,
+		Detail: fmt.Sprintf("called %s, incarnation %d", r.State, r.Incarnation),
 	})
 }
 
--- a/internal/ctl/describe.go
+++ b/internal/ctl/describe.go
@@ -80,7 +80,7 @@
 	case refuse.Shed:
 		return "overload: requests of its rank are shed to keep more important ones"
 	case refuse.Full:
-		return "no room to remember another once-only request"
+		return "no room to remember another non-idempotent request"
 	case refuse.Leaving:
 		return "the target is leaving and takes no new work"
 	case refuse.Starting:
@@ -92,7 +92,7 @@
 	case refuse.Retries:
 		return "no extra attempts were left for its chain"
 	case refuse.Targets:
-		return "no target could be used: all tried, leaving, or believed dead"
+		return "no target could be used: all tried, leaving, or marked dead"
 	case refuse.Lost:
 		return "the other side could not be reached or its answer was lost"
 	case refuse.Partial:
--- a/internal/ctl/import_test.go
+++ b/internal/ctl/import_test.go
@@ -70,3 +70,43 @@
 		}
 	})
 }
+
+// TestMissingNumberIsNamed checks that a row of a new service is refused for the
+// number that neither the register nor the base has, and for the value of one
+// that it has.
+func TestMissingNumberIsNamed(t *testing.T) {
+	const head = "instance;service;owner;region;centre;host;inbound;outbound;control;operator;slots;connections\n"
+	tests := map[string]struct {
+		row  string
+		want string
+	}{
+		"missing": {
+			row:  "new-1;new;own;dakar;dakar-1;10.0.0.9;1;2;3;4;;9\n",
+			want: "slots is given neither by the register nor by the base",
+		},
+		"out of range": {
+			row:  "new-1;new;own;dakar;dakar-1;10.0.0.9;1;2;3;4;10000000;9\n",
+			want: "slots: 10000000 is outside",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			export := &register{
+				onProgress: func(int64) {},
+			}
+			if err := export.read([]byte(head + tt.row)); err != nil {
+				t.Fatal(err)
+			}
+			m := &merger{
+				base:    rules.Document{},
+				rows:    export.rows,
+				refused: export.refused,
+				kept:    make(map[string]bool),
+			}
+			m.merge()
+			if len(m.refused) != 1 || !strings.Contains(m.refused[0].Reason, tt.want) {
+				t.Errorf("refused %+v, want one for %q", m.refused, tt.want)
+			}
+		})
+	}
+}
--- a/internal/ctl/merge.go
+++ b/internal/ctl/merge.go
@@ -152,14 +152,28 @@
 		}
 		field := p.Path[strings.LastIndex(p.Path, ".")+1:]
 		bad[line] = field + ": " + p.Text
-		// The text of a problem with a number begins with the number.
-		if strings.HasPrefix(p.Text, fmt.Sprint(notGiven)) {
+		if isNotGiven(draft.Services[service].Instances[instance], field) {
 			bad[line] = field + " is given neither by the register nor by the base"
 		}
 	}
 	return bad
 }
 
+// isNotGiven reports whether the register gives no value for a number of an
+// instance, which is named as in the document.
+func isNotGiven(i rules.Instance, field string) bool {
+	numbers := map[string]int{
+		"inbound":  i.Inbound,
+		"outbound": i.Outbound,
+		"control":  i.Control,
+		"operator": i.Operator,
+		"slots":    i.Slots,
+		"conns":    i.Conns,
+	}
+	n, ok := numbers[field]
+	return ok && n == notGiven
+}
+
 // fill returns the instance of r. Numbers that the register does not give are
 // copied from another instance.
 func (r row) fill(from rules.Instance) rules.Instance {
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -45,7 +45,7 @@
 	}
 	t.row("run", "useful part of target work", "", Trial.isAnyMachineBound, func(trial Trial) string { return percent(trial.usefulShare()) })
 	t.row("run", "cores used", "", neverInvalid, func(trial Trial) string { return fmt.Sprintf("%.1f", trial.Cores) })
-	t.row("invariant", "once-only double runs", "", neverInvalid, func(trial Trial) string { return fmt.Sprint(trial.Verdict.DoubleRuns) })
+	t.row("invariant", "at-most-once double runs", "", neverInvalid, func(trial Trial) string { return fmt.Sprint(trial.Verdict.DoubleRuns) })
 	t.row("invariant", "false not-run", "", neverInvalid, func(trial Trial) string { return fmt.Sprint(trial.Verdict.FalseNotRun) })
 	t.row("invariant", "crossed answers", "", neverInvalid, func(trial Trial) string { return fmt.Sprint(trial.Verdict.Crossed) })
 	t.row("invariant", "partial answers", "", neverInvalid, func(trial Trial) string { return fmt.Sprint(trial.Verdict.Partial) })
--- a/internal/faults/report.go
+++ b/internal/faults/report.go
@@ -155,7 +155,7 @@
 	for i, n := range r.Reasons {
 		fmt.Fprintf(&b, " %s %d", guard.Reason(i), n)
 	}
-	fmt.Fprintf(&b, "\nheirs answered %d times after %d hand-overs, %d parts not taken\n", r.SuccessorVerdicts, r.Handovers, r.RejectedParts)
+	fmt.Fprintf(&b, "\nsuccessors answered %d times after %d handovers, %d parts not taken\n", r.SuccessorVerdicts, r.Handovers, r.RejectedParts)
 	for i, n := range r.Violations {
 		fmt.Fprintf(&b, "%s %d\n", Violation(i), n)
 	}
--- a/internal/proto/diag/summary.go
+++ b/internal/proto/diag/summary.go
@@ -17,8 +17,6 @@
 	events  map[string]int
 	// Omitted is the number of lines that daemons left out of their logs.
 	Omitted int
-	// Unreadable is the number of lines that could not be parsed.
-	Unreadable int
 }
 
 // groupKey identifies requests that are counted together. Calls made by targets
--- a/internal/state/admit/admit.go
+++ b/internal/state/admit/admit.go
@@ -48,8 +48,6 @@
 	Cost     rules.Cost
 	// ExpectedTime is the expected service time; 0 takes the learned one.
 	ExpectedTime clock.Milli
-
-	offered clock.Milli
 }
 
 // Verdict is the result of an offer.
--- a/internal/state/admit/gate.go
+++ b/internal/state/admit/gate.go
@@ -48,7 +48,6 @@
 	g.adjust(now)
 	g.stats.Offered++
 	g.evicted = g.evicted[:0]
-	r.offered = now
 	expected := g.serviceTimes.expectedTime(now, &r)
 	if r.Cost == rules.Short {
 		g.shedder.addDemand(levelOf(r.Importance, r.RootHash), expected)
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -25,7 +25,8 @@
 	Dead bool
 	// Leaving reports that the target takes no new requests.
 	Leaving bool
-	// AliveSince is the instant at which the daemon was first observed alive.
+	// AliveSince is the instant at which the daemon was first seen in its current
+	// incarnation, 0 if no other incarnation of it was seen.
 	AliveSince clock.Milli
 }
 
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -137,8 +137,8 @@
 	start := n.cfg.Clock.Now()
 	a, fb := n.dispatch(ctx, r, hop)
 	fb.Received = true
-	n.log(r, hop, &a, fb, n.cfg.Clock.Now()-start)
 	fb.Threshold = fb.Threshold.Max(n.DownstreamThreshold(hop.Path))
+	n.log(r, hop, &a, fb, n.cfg.Clock.Now()-start)
 	return a, fb
 }
 
