Contain panics of the /service/operation interface too

Cause: its handlers, its exchanges with targets and guards, the control goroutine and the control connections ran without a recover; one fault met by one message ended the daemon.

Change: each is run through state/rescue. A request whose handler panics loses its connection without an answer, an exchange ends with an unknown outcome and frees its slot, a control message or a value is dropped; event 112 has the stack. Left: the count of running calls of a target stays one too high at the outbound side after a panic there, and methods that net/rpc calls in its own goroutines are contained one by one (Take; Receive only queues).

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -15,6 +15,7 @@
 	"siskinswitch.example/siskin/internal/coord/spread"
 	"siskinswitch.example/siskin/internal/proto/config"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/route"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/view"
@@ -220,23 +221,31 @@
 			return
 		case <-k.clock.After(next - k.clock.Now()):
 		case e := <-k.inbox:
-			k.agent.Receive(k.clock.Now(), e.From, e.Message)
+			k.contain("receive a control message", func() { k.agent.Receive(k.clock.Now(), e.From, e.Message) })
 			if k.clock.Now() < next {
 				continue
 			}
 		case r := <-k.readResults:
-			k.agent.ReadDone(k.clock.Now(), r.kind, r.data, r.err)
+			k.contain("take in a configuration", func() { k.agent.ReadDone(k.clock.Now(), r.kind, r.data, r.err) })
 		case list := <-k.hostLists:
-			k.agent.UpdateHosts(k.clock.Now(), k.listings(list))
+			k.contain("take in a list of hosts", func() { k.agent.UpdateHosts(k.clock.Now(), k.listings(list)) })
 		case <-k.leave:
-			k.agent.Leave(k.clock.Now())
+			k.contain("announce the leave", func() { k.agent.Leave(k.clock.Now()) })
 		}
 		now := k.clock.Now()
-		k.agent.Tick(now)
+		k.contain("tick of the agent", func() { k.agent.Tick(now) })
 		next = now + agent.TickInterval
 	}
 }
 
+// contain calls f and logs a panic in it, so that one message or value does not
+// end the process.
+func (k *control) contain(op string, f func()) {
+	if err := rescue.Run(op, f); err != nil {
+		event.Contained(k.log, err)
+	}
+}
+
 // Receive queues a control message of another daemon for the agent. net/rpc
 // calls it. If the inbox is full, Receive drops the message and returns no error:
 // the protocol tolerates lost messages.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"siskinswitch.example/siskin/internal/state/chain"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/reqlog"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/route"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/ticket"
@@ -299,7 +300,7 @@
 		return err
 	}
 	s := &fasthttp.Server{
-		Handler:               d.closeWhenLeaving(handler),
+		Handler:               d.contained(d.closeWhenLeaving(handler)),
 		ErrorHandler:          outbnd.Malformed,
 		ReadTimeout:           readTimeout.Duration(),
 		WriteTimeout:          writeTimeout.Duration(),
@@ -320,6 +321,27 @@
 	return nil
 }
 
+// contained returns a handler that closes the connection, without an answer, of a
+// request on which handler panics.
+func (d *Daemon) contained(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if d.run("serve a request", func() { handler(ctx) }) {
+			return
+		}
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+}
+
+// run calls f, logs a panic in it and reports whether there was none.
+func (d *Daemon) run(op string, f func()) bool {
+	err := rescue.Run(op, f)
+	if err != nil {
+		event.Contained(d.log, err)
+	}
+	return err == nil
+}
+
 // tick runs the periodic work outside the control goroutine: ticks of the
 // admission gate, the removal of unused retry budgets, and the log events about
 // overload and a full table of non-idempotent requests.
@@ -333,13 +355,15 @@
 			return
 		case <-d.clock.After(tickInterval):
 		}
-		d.inbound.Tick()
-		if now := d.clock.Now(); now >= lastSweep+sweepInterval {
-			d.routes.Sweep(now)
-			lastSweep = now
-		}
-		overloaded = d.logOverload(overloaded)
-		timesFull = d.logTableFull(timesFull)
+		d.run("tick", func() {
+			d.inbound.Tick()
+			if now := d.clock.Now(); now >= lastSweep+sweepInterval {
+				d.routes.Sweep(now)
+				lastSweep = now
+			}
+			overloaded = d.logOverload(overloaded)
+			timesFull = d.logTableFull(timesFull)
+		})
 	}
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -40,6 +40,9 @@
 // outcomes: what it accepted now would be lost when it ends.
 var errHandedOver = errors.New("this daemon has handed over its own outcomes")
 
+// errPanicked refuses a handover that met an unexpected error.
+var errPanicked = errors.New("the handover met an unexpected error")
+
 // receiver has the methods that other daemons call over net/rpc.
 type receiver struct {
 	d *Daemon
@@ -56,7 +59,11 @@
 	if r.d.handedOver.Load() {
 		return errHandedOver
 	}
-	if err := r.d.handovers.Import(r.d.clock.Now(), h.Part); err != nil {
+	var err error
+	if !r.d.run("take a handover", func() { err = r.d.handovers.Import(r.d.clock.Now(), h.Part) }) {
+		return errPanicked
+	}
+	if err != nil {
 		return err
 	}
 	event.Info(r.d.log, event.HandoverReceived, zap.String("from", h.From), zap.Int("part", h.Part.Part), zap.Int("parts", h.Part.Parts))
--- a/internal/trans/inbnd/exchange.go
+++ b/internal/trans/inbnd/exchange.go
@@ -6,11 +6,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/refuse"
 	"siskinswitch.example/siskin/internal/proto/reply"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/chain"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/trans/pool"
 	"siskinswitch.example/siskin/internal/trans/slot"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -217,9 +219,27 @@
 }
 
 // runExchange sends req to the target, releases the slot and the chain record
-// of the attempt, and delivers the result on e.done.
+// of the attempt, and delivers the result on e.done. A panic in the exchange
+// leaves the outcome unknown.
 func (s *Server) runExchange(e *exchange, req *fasthttp.Request) {
 	defer fasthttp.ReleaseRequest(req)
+	var res result
+	if err := rescue.Run("exchange with the target", func() { res = s.send(e, req) }); err != nil {
+		event.Contained(s.cfg.Log, err)
+		s.recordInterrupted(e.attempt)
+		res = unknownOutcome(fasthttp.StatusBadGateway, refuse.Lost, "The exchange with the target broke off.")
+	}
+	took := s.cfg.Clock.Now() - e.start
+	if res.state != reply.Done {
+		took = -1
+	}
+	s.gate.Done(e.admitted, took)
+	e.unspentUnits = s.cfg.Chains.End(e.parent)
+	e.done <- res
+}
+
+// send sends req to the target and returns the result.
+func (s *Server) send(e *exchange, req *fasthttp.Request) result {
 	timeout := e.attempt.deadline - e.start + exchangeGrace
 	if e.attempt.isGuarded() {
 		timeout += guardedGrace
@@ -232,13 +252,7 @@
 	if res.answer == nil {
 		fasthttp.ReleaseResponse(resp)
 	}
-	took := s.cfg.Clock.Now() - e.start
-	if res.state != reply.Done {
-		took = -1
-	}
-	s.gate.Done(e.admitted, took)
-	e.unspentUnits = s.cfg.Chains.End(e.parent)
-	e.done <- res
+	return res
 }
 
 // classify returns the result for the target's answer or for the error of the
--- a/internal/trans/link/listen.go
+++ b/internal/trans/link/listen.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"siskinswitch.example/siskin/internal/proto/wire"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -220,7 +221,11 @@
 		meter: l.cfg.Meter,
 	}
 	c.setTimeout(l.cfg.HandshakeTimeout)
-	key, err := serverHandshake(c, l.cfg.Keys)
+	var key []byte
+	var err error
+	if panicked := rescue.Run("handshake", func() { key, err = serverHandshake(c, l.cfg.Keys) }); panicked != nil {
+		err = panicked
+	}
 	l.mu.Lock()
 	l.handshakes.end(nc.RemoteAddr())
 	l.mu.Unlock()
@@ -228,6 +233,14 @@
 		l.cfg.OnRefused(nc.RemoteAddr(), err)
 		return
 	}
+	panicked := rescue.Run("serve calls", func() { l.serveCalls(c, key) })
+	if panicked != nil {
+		l.cfg.OnRefused(nc.RemoteAddr(), panicked)
+	}
+}
+
+// serveCalls serves the calls on an accepted connection until it ends.
+func (l *Listener) serveCalls(c *conn, key []byte) {
 	l.rpc.ServeCodec(&limitedCodec{
 		Server: wire.NewServer(wire.Config{
 			Conn:         c,
--- a/internal/trans/outbnd/attempt.go
+++ b/internal/trans/outbnd/attempt.go
@@ -6,9 +6,12 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/hop"
+	"siskinswitch.example/siskin/internal/proto/refuse"
 	"siskinswitch.example/siskin/internal/proto/reply"
 	"siskinswitch.example/siskin/internal/state/pick"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 	"siskinswitch.example/siskin/pkg/header"
@@ -103,8 +106,23 @@
 	return string(strconv.AppendUint(buf, n, 36))
 }
 
-// runExchange sends the attempt to the guard and delivers its result.
+// runExchange sends the attempt to the guard and delivers its result. A panic in
+// the exchange leaves the outcome unknown.
 func (s *Server) runExchange(t *attempt) {
+	var r result
+	if err := rescue.Run("exchange with a guard", func() { r = s.send(t) }); err != nil {
+		event.Contained(s.cfg.Log, err)
+		r = result{
+			state:   reply.Unknown,
+			problem: refuse.Unknown(fasthttp.StatusBadGateway, refuse.Lost, "The exchange with the target's daemon broke off."),
+			target:  t.target.Name,
+		}
+	}
+	t.done <- r
+}
+
+// send sends the attempt to the guard and returns the result.
+func (s *Server) send(t *attempt) result {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -114,7 +132,7 @@
 	if r.answer == nil {
 		fasthttp.ReleaseResponse(resp)
 	}
-	t.done <- r
+	return r
 }
 
 func (t *attempt) fill(req *fasthttp.Request) {
--- a/internal/trans/outbnd/race.go
+++ b/internal/trans/outbnd/race.go
@@ -5,8 +5,10 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/refuse"
 	"siskinswitch.example/siskin/internal/proto/reply"
+	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -226,13 +228,17 @@
 	t := r.first
 	r.queryResult = ch
 	go func() {
-		state, resp, ok := r.s.queryOutcome(t)
-		if !ok {
-			ch <- result{
-				state: reply.Unknown,
+		res := result{
+			state: reply.Unknown,
+		}
+		err := rescue.Run("query of an outcome", func() {
+			if state, resp, ok := r.s.queryOutcome(t); ok {
+				res = r.s.resultOfQuery(t, state, resp)
 			}
-			return
+		})
+		if err != nil {
+			event.Contained(r.s.cfg.Log, err)
 		}
-		ch <- r.s.resultOfQuery(t, state, resp)
+		ch <- res
 	}()
 }
