--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,11 +35,16 @@
 	// Blackhole drops the bytes of both directions and hides the end of either
 	// connection from the other.
 	Blackhole
+	// Held keeps the bytes of both directions until the mode changes, as the
+	// links of a host do that is silent for a while.
+	Held
 )
 
 const (
 	// delay is the delay of the mode [Delayed].
 	delay = 60 * clock.Millisecond
+	// heldPollEvery is the interval at which a held relay looks for another mode.
+	heldPollEvery = 2 * clock.Millisecond
 	// bufferBytes is the size of the buffer of each direction.
 	bufferBytes = 16 << 10
 )
@@ -180,6 +185,9 @@
 	for {
 		n, err := from.Read(buf)
 		mode := p.mode()
+		for ; mode == Held; mode = p.mode() {
+			time.Sleep(heldPollEvery.Duration())
+		}
 		if mode == Delayed {
 			time.Sleep(delay.Duration())
 		}
