Serve other daemons during a planned stop until the callers have left

Pattern: idle room in a rolling restart.

Change: callers and other daemons are served as before until no caller has come for 0.4 s, at least 2.3 s (two checks of readiness, one a second) and at most 70 % of the grace. Then other daemons are refused for 0.4 s, which tells them to use other targets, what is in progress ends, and the daemon leaves. It does not wait for callers that are gone. Ruled out: a smaller constant in place of 70 %, which cuts callers that leave late.

--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -8,9 +8,17 @@
 )
 
 const (
-	// acceptPercent is the share of the grace for which a stopping daemon keeps
-	// accepting requests.
+	// noticeTime is the least time for which a stopping daemon serves as before,
+	// in which callers miss the readiness check often enough to leave. leftAfter
+	// is the time without a request of theirs after which they count as gone.
+	noticeTime = 2300 * clock.Millisecond
+	leftAfter  = 400 * clock.Millisecond
+	// acceptPercent is the share of the grace for which a stopping daemon waits
+	// for callers that do not leave.
 	acceptPercent = 70
+	// refusalTime is the least time for which a stopping daemon refuses the
+	// requests of other daemons, so that they learn that it leaves.
+	refusalTime = 400 * clock.Millisecond
 	// idlePollEvery is the interval at which a stopping daemon checks for
 	// requests in flight.
 	idlePollEvery = 20 * clock.Millisecond
@@ -32,21 +40,31 @@
 	idleCloseTime = 50 * clock.Millisecond
 )
 
-// Stop ends the daemon gracefully within the grace. The readiness check fails
-// at once and the target gets no new work. Callers are still served for most of
-// the grace, because they need some seconds to learn that they must go
-// elsewhere. Requests still in flight at the end are interrupted, and their
+// Stop ends the daemon gracefully within the grace. It takes the target away
+// for as short a time as it can:
+//
+//   - The readiness check fails at once. Callers and other daemons are served as
+//     before until the callers have left, because callers need some seconds to
+//     learn that they must go elsewhere, and the target lives on.
+//   - Then other daemons are refused, which tells them to use other targets, and
+//     the requests in progress end.
+//   - The listeners close, what was accepted is answered, and the connections
+//     close as they become idle.
+//
+// Requests still in flight at the end of the grace are interrupted, and their
 // number is logged.
 func (d *Daemon) Stop() {
 	began := d.clock.Now()
 	grace := clock.Milli(d.settings.Grace) * clock.Second
+	exitAt := began + grace - exitMargin
+	lastAccept := exitAt - acceptedLinger - clock.Milli(len(d.listeners))*listenerDrainTime
 	d.stopping.Store(true)
-	d.inbound.Drain()
 	d.callers.Stop()
-	d.outbound.StopAt(began + grace - exitMargin - lastAnswerMargin)
+	d.outbound.StopAt(exitAt - lastAnswerMargin)
 	event.Info(d.log, event.Stopping)
-	exitAt := began + grace - exitMargin
-	d.awaitIdle(began+grace*acceptPercent/100, exitAt-acceptedLinger-clock.Milli(len(d.listeners))*listenerDrainTime)
+	d.awaitCallers(began, min(began+grace*acceptPercent/100, lastAccept))
+	d.inbound.Drain()
+	d.awaitIdle(d.clock.Now()+refusalTime, lastAccept)
 	for _, l := range d.listeners {
 		if err := l.Drain(listenerDrainTime); err != nil {
 			d.log.Warn("connections may be reset while a listener closes", zap.Error(err))
@@ -62,6 +80,21 @@
 	event.Info(d.log, event.Stopped)
 }
 
+// awaitCallers waits until the callers have left: no request of theirs is in
+// progress, and none came for leftAfter. It waits at least for noticeTime from
+// began on, and at most until latest.
+func (d *Daemon) awaitCallers(began, latest clock.Milli) {
+	for {
+		now := d.clock.Now()
+		quietSince := max(began, d.callers.LastArrival())
+		isQuiet := now >= quietSince+leftAfter && d.callers.IsIdle()
+		if now >= latest || now >= began+noticeTime && isQuiet {
+			return
+		}
+		<-d.clock.After(idlePollEvery)
+	}
+}
+
 // closeConnections closes the connections as they become idle, until latest. A
 // request that arrives in the last moment is answered first.
 func (d *Daemon) closeConnections(latest clock.Milli) {
