Gather changes of the store for a fifth of the drain time

Cause: each daemon reads again half a second after a change, whatever the deployment. Pattern: all daemons wake for each change.

Change: the delay is a fifth of the drain time, by which a change must be known: 500 ms as before where that is 2.5 s, 600 and 800 ms where it is 3 and 4 s. A leave is known in a fifth, the target's own daemon refuses after two fifths more. Ruled out: a fixed longer delay, which would be too late on deployments with a short drain time.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -80,9 +80,6 @@
 const (
 	// watchWait is how long the store may hold a watch without changes.
 	watchWait = 15 * clock.Second
-	// batchDelay is the delay between a change and the next watch, so that one
-	// read returns the changes of that time.
-	batchDelay = 500 * clock.Millisecond
 	// minBackoff and maxBackoff bound the backoff after a failed read.
 	minBackoff = 100 * clock.Millisecond
 	maxBackoff = 800 * clock.Millisecond
@@ -94,6 +91,10 @@
 	Source Source
 	// Prefix selects the keys to follow.
 	Prefix string
+	// BatchDelay is the delay between a change and the next watch, so that one
+	// read returns the changes of that time. It is also the longest time for
+	// which a change stays unknown while the store answers.
+	BatchDelay clock.Milli
 	// Jitter returns a random duration below the given one.
 	Jitter func(clock.Milli) clock.Milli
 	// Listed is called with each complete list. afterOutage reports that it is
@@ -189,7 +190,7 @@
 		f.cfg.Changed(now, page.Items)
 		select {
 		case <-ctx.Done():
-		case <-f.cfg.Clock.After(batchDelay):
+		case <-f.cfg.Clock.After(f.cfg.BatchDelay):
 		}
 	}
 	return page.Revision, nil
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -69,6 +69,11 @@
 	// malformedRetryAfter is the Retry-After of a request that there was no
 	// memory for.
 	malformedRetryAfter = 500 * clock.Millisecond
+	// batchDivisor is the part of the drain time for which changes in the store
+	// are gathered. Each read of one daemon is paid for, and in a fleet all
+	// daemons read each change. The rest of the drain time is for the target's
+	// own daemon, which learns of the leave as late and then refuses.
+	batchDivisor = 5
 	// hopHeadBytes is the room for the header fields that daemons add to a
 	// request.
 	hopHeadBytes = 1 << 10
@@ -304,9 +309,10 @@
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	return watch.New(watch.Config{
-		Clock:  d.clock,
-		Source: newStoreClient(d.settings.Store, d.clock, d.contain).source(),
-		Jitter: func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
+		Clock:      d.clock,
+		Source:     newStoreClient(d.settings.Store, d.clock, d.contain).source(),
+		BatchDelay: clock.Milli(d.settings.Drain) / batchDivisor,
+		Jitter:     func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed: func(now clock.Milli, items []watch.Item, afterOutage bool) {
 			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, afterOutage) })
 		},
