Drain all listeners of a stopping daemon at once, for 250 ms at most

Cause: the listeners were drained one after the other, each for 20 ms at most.

Change: the four are drained together, with 250 ms, which a daemon that gets its turn does not use.

--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"sync"
+
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/proto/event"
@@ -31,8 +33,8 @@
 	// process.
 	lastAnswerMargin = 100 * clock.Millisecond
 	// listenerDrainTime limits the time for accepting the connections that wait
-	// at one listener.
-	listenerDrainTime = 20 * clock.Millisecond
+	// at the listeners. A connection that still waits then is reset.
+	listenerDrainTime = 250 * clock.Millisecond
 	// acceptedLinger is how long accepted connections are served after the
 	// listeners are closed, because their requests may still be on the way.
 	acceptedLinger = 150 * clock.Millisecond
@@ -57,7 +59,7 @@
 	began := d.clock.Now()
 	grace := clock.Milli(d.settings.Grace) * clock.Second
 	exitAt := began + grace - exitMargin
-	lastAccept := exitAt - acceptedLinger - clock.Milli(len(d.listeners))*listenerDrainTime
+	lastAccept := exitAt - acceptedLinger - listenerDrainTime
 	d.stopping.Store(true)
 	d.callers.Stop()
 	d.outbound.StopAt(exitAt - lastAnswerMargin)
@@ -65,11 +67,7 @@
 	d.awaitCallers(began, min(began+grace*acceptPercent/100, lastAccept))
 	d.inbound.Drain()
 	d.awaitIdle(d.clock.Now()+refusalTime, lastAccept)
-	for _, l := range d.listeners {
-		if err := l.Drain(listenerDrainTime); err != nil {
-			d.log.Warn("connections may be reset while a listener closes", zap.Error(err))
-		}
-	}
+	d.drainListeners()
 	lingerEnd := d.clock.Now() + acceptedLinger
 	d.awaitIdle(lingerEnd, max(lingerEnd, exitAt))
 	d.closeConnections(max(lingerEnd, exitAt) + idleCloseTime)
@@ -80,6 +78,19 @@
 	event.Info(d.log, event.Stopped)
 }
 
+// drainListeners closes the listeners once they have accepted what waits.
+func (d *Daemon) drainListeners() {
+	var wg sync.WaitGroup
+	for _, l := range d.listeners {
+		wg.Go(func() {
+			if err := l.Drain(listenerDrainTime); err != nil {
+				d.log.Warn("connections may be reset while a listener closes", zap.Error(err))
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // awaitCallers waits until the callers have left: no request of theirs is in
 // progress, and none came for leftAfter. It waits at least for noticeTime from
 // began on, and at most until latest.
