Show, without a network, what sparse entries let in and lose

Nothing in the repository showed it.

Change: a deployment of 96 sparse daemons in the decisions' bench, chains of four hops with four and eight calls to a deepest service that can do 0.4 of the demand, with and without 55 % of rejections, callers that repeat at once. The test asks that half of the attempts on which work was done become whole. Bound: half, as the issue asks that most of what is not served is refused before any work.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -64,6 +64,36 @@
 	}
 }
 
+// TestSparseEntriesAdmitWhatBecomesWhole answers the pattern of a fleet of many
+// daemons, of which each sees few requests: what the deepest service can't do is
+// let in and fails four hops deep, because what an entry knows of deep services
+// is old or thin. Most of what is let in must become whole.
+func TestSparseEntriesAdmitWhatBecomesWhole(t *testing.T) {
+	tests := map[string]struct {
+		scenario bench.Scenario
+		minWhole float64
+	}{
+		"shortage": {
+			scenario: bench.DeepShortage(bench.SparseEntries()),
+			minWhole: 0.5,
+		},
+		"rejections": {
+			scenario: bench.DeepRejects(bench.SparseEntries()),
+			minWhole: 0.5,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := bench.Run(tt.scenario, bench.Siskin())
+			t.Logf("whole %.3f of admitted, vital %.3f, normal %.3f, goodput %.0f/s, wasted %.2f of the slot time",
+				r.WholeShare(), r.SuccessRate(rules.Vital), r.SuccessRate(rules.Normal), r.Goodput(), r.WastedShare())
+			if got := r.WholeShare(); got < tt.minWhole {
+				t.Errorf("%.3f of the admitted attempts became whole, want %.2f", got, tt.minWhole)
+			}
+		})
+	}
+}
+
 // TestChecksCanFail runs systems that must miss the goals, which shows that the
 // other tests can fail.
 func TestChecksCanFail(t *testing.T) {
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -87,6 +87,7 @@
 // attemptEnded handles the end of an attempt: the root request succeeds, is
 // retried, or fails after the last retry.
 func (f *fleet) attemptEnded(root *rootRequest, req *requestContext, succeeded bool) {
+	f.result.recordAttemptEnd(f.at, req, succeeded)
 	if succeeded {
 		f.result.recordSuccess(f.at, root, req)
 		return
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -168,6 +168,67 @@
 	}
 }
 
+// SparseEntries returns a deployment of 96 daemons of which each sees few
+// requests: chains of four hops that call the deepest service four times, the
+// most important ones eight times.
+func SparseEntries() Deployment {
+	deep := &Operation{
+		Path:    "payment/status",
+		Service: 3,
+		OwnTime: 8,
+	}
+	chain := func(prefix string, deepCalls int) *Operation {
+		post := &Operation{
+			Path:      "ledger/" + prefix,
+			Service:   2,
+			OwnTime:   10,
+			Calls:     deep,
+			CallCount: deepCalls,
+		}
+		move := &Operation{
+			Path:    "transfer/" + prefix,
+			Service: 1,
+			OwnTime: 10,
+			Calls:   post,
+		}
+		return &Operation{
+			Path:    "balance/" + prefix,
+			Service: 0,
+			OwnTime: 20,
+			Calls:   move,
+		}
+	}
+	transfer, enquiry := chain("transfer", 8), chain("enquiry", 4)
+	return Deployment{
+		Name:     "sparse entries",
+		Services: services([]string{"balance", "transfer", "ledger", "payment"}, 66, 630, 2, 630),
+		Streams: []Stream{
+			{
+				Op:         transfer,
+				Importance: rules.Vital,
+				Share:      25,
+			},
+			{
+				Op:         enquiry,
+				Importance: rules.Normal,
+				Share:      75,
+			},
+		},
+		PerCentre:          6,
+		DeepService:        3,
+		Demand:             1400,
+		RegionLatency:      500,
+		CrossRegionLatency: 20_000,
+		CallerLatency:      3000,
+		LongOp: &Operation{
+			Path:    "ledger/reconcile",
+			Service: 2,
+			OwnTime: 3000,
+			Cost:    rules.Long,
+		},
+	}
+}
+
 // Scaled returns d with n times the targets and n times the demand.
 func Scaled(d Deployment, n int) Deployment {
 	d.Name += fmt.Sprintf(", %d targets", len(d.Services)*centres*n)
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -21,6 +21,10 @@
 	System   System
 	// succeededByBin counts the successful root requests by the bin of their end.
 	succeededByBin []int
+	// admitted counts the attempts at root requests that ended during the
+	// disturbance after a target had worked on them, refusedEarly those that
+	// failed before any work.
+	admitted, refusedEarly int
 	// succeeded and failed count the root requests that ended during the
 	// disturbance by importance.
 	succeeded, failed [rules.Vital + 1]int
@@ -62,6 +66,26 @@
 	}
 }
 
+// recordAttemptEnd counts an attempt at a root request that has ended.
+func (r *Result) recordAttemptEnd(at micro, req *requestContext, succeeded bool) {
+	switch {
+	case !r.scenario.isDisturbed(at.milli()):
+	case succeeded || req.slotTime > 0:
+		r.admitted++
+	default:
+		r.refusedEarly++
+	}
+}
+
+// WholeShare returns the fraction of the attempts at root requests that succeeded
+// among those that a target had worked on, 1 if there were none.
+func (r *Result) WholeShare() float64 {
+	if r.admitted == 0 {
+		return 1
+	}
+	return float64(len(r.latencies)) / float64(r.admitted)
+}
+
 // recordSlotTime adds the slot time of a call that ends.
 func (r *Result) recordSlotTime(at micro, c *inboundCall) {
 	c.req.slotTime += at - c.began
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -36,6 +36,9 @@
 	// ColdStart restarts a target of the deep service at Begin. It is slow at
 	// first.
 	ColdStart bool
+	// RejectPercent is the part of the requests that the targets of the deep
+	// service reject at random during the disturbance.
+	RejectPercent int
 	// LongRequests is the number of long requests that start at Begin. Each is
 	// sent again when it ends, until End.
 	LongRequests int
@@ -73,6 +76,43 @@
 	}
 }
 
+// DeepShortage returns the scenario in which the deep service can do 40 % of what
+// is demanded of it at normal demand, because its targets are slow.
+func DeepShortage(deployment Deployment) Scenario {
+	s := Overload(deployment, 100)
+	s.Name = "deep at 0.4 of the demand"
+	s.CalmPercent = 25
+	s.DeepSlowdown = 1
+	s.DeepSlowdown = s.optimalSlowdown(0.4)
+	return s
+}
+
+// DeepRejects returns the scenario of [DeepShortage] in which the targets of the
+// deep service also reject 55 % of the requests at random.
+func DeepRejects(deployment Deployment) Scenario {
+	s := DeepShortage(deployment)
+	s.Name = "deep rejects 55 %"
+	s.RejectPercent = 55
+	return s
+}
+
+// optimalSlowdown returns the slowdown of the deep service at which its capacity
+// is the given part of what the demand needs there.
+func (s *Scenario) optimalSlowdown(part float64) float64 {
+	demand := float64(s.Deployment.Demand) * float64(s.SurgePercent) / 100
+	needed := 0.0
+	for _, stream := range s.Deployment.Streams {
+		last, times := stream.Op, 1
+		for last.Calls != nil {
+			times *= max(1, last.CallCount)
+			last = last.Calls
+		}
+		needed += demand * float64(stream.Share) / 100 * float64(times) * float64(last.OwnTime) / float64(clock.Second)
+	}
+	slots := float64(s.Deployment.Services[s.Deployment.DeepService].Slots * centres * s.Deployment.PerCentre)
+	return slots / (needed * part)
+}
+
 // OneRegionSlow returns the scenario in which the deep service of one region
 // runs at a third of its speed at normal demand, while the other region has
 // spare capacity.
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -27,6 +27,9 @@
 	respond      func(outcome)
 }
 
+// rejectTime is the time that a target takes to reject a request.
+const rejectTime = perMilli
+
 // target is a fake target behind a gate. Without control it has a plain queue
 // instead.
 type target struct {
@@ -151,6 +154,10 @@
 // other half. With control the call is cancelled at its deadline.
 func (t *target) serve(c *inboundCall) {
 	c.began = t.f.at
+	if t.rejects() {
+		t.f.after(rejectTime, func() { t.end(c, pick.Refused) })
+		return
+	}
 	ownTime := micro(float64(toMicro(c.op.OwnTime)) * t.f.slowdown(t.d.service, t.d.centre, t.d.index))
 	if c.op.Cost == rules.Short {
 		ownTime = t.f.jitter(ownTime)
@@ -165,6 +172,15 @@
 	t.f.after(ownTime/2, func() { t.callDownstream(c, max(1, c.op.CallCount), ownTime/2) })
 }
 
+// rejects reports whether the target rejects the request that begins.
+func (t *target) rejects() bool {
+	s := t.f.scenario
+	if s.RejectPercent == 0 || t.d.service != s.Deployment.DeepService || !s.isDisturbed(t.f.now()) {
+		return false
+	}
+	return t.f.rand.IntN(100) < s.RejectPercent
+}
+
 // callDownstream makes the remaining downstream calls of c one after the other,
 // then serves the rest of its own time.
 func (t *target) callDownstream(c *inboundCall, callsLeft int, rest micro) {
