Close connections of a stopped server without cancelling what runs on them

Cause, found by reading the change: CloseIdle woke also the reader of a connection whose client had announced its last request, which then took the time-out for a disconnect and cancelled the request: 504 in place of the answer. And a connection that was closed after its answer counted for up to a second, so that a stop waited for nothing.

Change: only a reader that waits for a request is woken; what counts is a connection that may still deliver one.

--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/proto/event"
+	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -111,11 +112,14 @@
 func (d *Daemon) closeConnections(latest clock.Milli) {
 	d.callers.CloseIdle()
 	d.peers.CloseIdle()
-	for d.clock.Now() < latest && d.callers.Reading()+d.callers.InFlight()+d.peers.Reading()+d.peers.InFlight() > 0 {
+	for d.clock.Now() < latest && (mayAnswer(d.callers) || mayAnswer(d.peers)) {
 		<-d.clock.After(closePollEvery)
 	}
 }
 
+// mayAnswer reports whether a server has, or may get, requests to answer.
+func mayAnswer(s *http1.Server) bool { return s.InFlight() > 0 || s.Reading() > 0 }
+
 // Kill ends the daemon at once and resets its connections, as if its process
 // were killed.
 func (d *Daemon) Kill() {
--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -95,8 +95,8 @@
 
 // Do sends r to addr and returns the complete answer, whose body is taken from
 // the hold of ctx. When ctx ends, the connection is closed at once, which the
-// other end sees as a client disconnect. Errors are of type [*Error]; the kind Unsent guarantees that
-// nothing of the request was sent.
+// other end sees as a client disconnect. Errors are of type [*Error]; the kind
+// Unsent guarantees that nothing of the request was sent.
 func (c *Client) Do(ctx context.Context, addr string, r *Request, o Options) (guard.Answer, error) {
 	echo := c.echoOf(r)
 	n, err := c.acquire(ctx, addr, echo, o)
--- a/internal/trans/http1/contain_test.go
+++ b/internal/trans/http1/contain_test.go
@@ -168,6 +168,54 @@
 	}
 }
 
+// TestCloseIdleWaitsForWhatRuns checks that closing idle connections does not
+// cancel a request in progress, and that its connection closes after the answer.
+func TestCloseIdleWaitsForWhatRuns(t *testing.T) {
+	tests := map[string]struct {
+		field string
+	}{
+		"kept connection": {},
+		"with Connection: close": {
+			field: "Connection: close\r\n",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			started := make(chan struct{})
+			release := make(chan struct{})
+			s, addr := startServer(t, ServerConfig{
+				Handle: func(ctx context.Context, _ *Request) Reply {
+					close(started)
+					select {
+					case <-release:
+						return answer(200, "")
+					case <-ctx.Done():
+						return answer(504, "")
+					}
+				},
+			})
+			c := connect(t, addr)
+			write(t, c, "GET /a HTTP/1.1\r\nHost: h\r\n"+tt.field+"\r\n")
+			<-started
+			s.CloseIdle()
+			time.Sleep(20 * time.Millisecond)
+			close(release)
+			br := bufio.NewReader(c)
+			var resp fasthttp.Response
+			if err := resp.Read(br); err != nil || resp.StatusCode() != 200 {
+				t.Fatalf("status %d, error %v, want 200", resp.StatusCode(), err)
+			}
+			if rest, err := io.ReadAll(br); err != nil || len(rest) > 0 {
+				t.Errorf("got %q, %v, want the end of the connection", rest, err)
+			}
+			// The client has not closed its side, but no request can come any more.
+			if n := s.Reading(); n != 0 {
+				t.Errorf("%d answered connections still count", n)
+			}
+		})
+	}
+}
+
 // TestCloseIdleEndsIdleConnections checks that connections without a request
 // are closed at once, with and without an earlier request.
 func TestCloseIdleEndsIdleConnections(t *testing.T) {
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -62,8 +62,6 @@
 	// lastArrival is the instant at which the header of the last request was
 	// complete, 0 before the first.
 	lastArrival atomic.Int64
-	// reading counts the connections that may still deliver requests.
-	reading atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*session]struct{}
@@ -119,7 +117,17 @@
 func (s *Server) LastArrival() clock.Milli { return clock.Milli(s.lastArrival.Load()) }
 
 // Reading returns the number of connections that may still deliver requests.
-func (s *Server) Reading() int64 { return s.reading.Load() }
+func (s *Server) Reading() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if !c.closing.Load() && !c.readerEnded.Load() {
+			n++
+		}
+	}
+	return n
+}
 
 // IsIdle reports whether no request is unanswered and no connection has unread
 // bytes.
@@ -175,7 +183,6 @@
 		writerDone: make(chan struct{}),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	s.reading.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -190,7 +197,7 @@
 		s.cfg.OnPanic(err)
 		c.closing.Store(true)
 	}
-	s.reading.Add(-1)
+	c.readerEnded.Store(true)
 	close(c.replies)
 	<-c.writerDone
 	c.discardInput()
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -33,13 +33,15 @@
 	cancel context.CancelFunc
 	// closing is set before the last answer is written.
 	closing atomic.Bool
+	// readerEnded is set when no more requests are read.
+	readerEnded atomic.Bool
 	// closesIdle is set when the connection is to close once it is idle.
 	closesIdle atomic.Bool
 	// mu orders the read deadlines of the reader and of closeWhenIdle. It guards
-	// inRequest, which is set while the reader reads a request of which the first
-	// byte has arrived.
-	mu        sync.Mutex
-	inRequest bool
+	// isBusy, which is set while the reader does not wait for a request: it reads
+	// one of which the first byte has arrived, or waits for the disconnect.
+	mu     sync.Mutex
+	isBusy bool
 	// lingers is set when the connection was closed for writing only.
 	lingers atomic.Bool
 	// writerDone is closed when nothing more will be written.
@@ -149,6 +151,7 @@
 // handlers that still run. The client has announced its last request, so
 // whatever else it sends is discarded.
 func (c *session) awaitDisconnect() {
+	c.setBusy(true)
 	_ = c.raw.SetReadDeadline(time.Time{})
 	if _, err := io.Copy(io.Discard, c.br); err != nil || c.unanswered.Load() > 0 {
 		c.cancel()
@@ -164,10 +167,10 @@
 		return nil, err
 	}
 	c.server.inFlight.Add(1)
-	c.setInRequest(true)
+	c.setBusy(true)
 	isComplete := false
 	defer func() {
-		c.setInRequest(false)
+		c.setBusy(false)
 		if !isComplete {
 			c.server.inFlight.Add(-1)
 		}
@@ -254,7 +257,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closesIdle.Store(true)
-	if !c.inRequest {
+	if !c.isBusy {
 		_ = c.raw.SetReadDeadline(time.Now())
 	}
 }
@@ -264,11 +267,11 @@
 	return c.closesIdle.Load() && c.unanswered.Load() == 0 && sock.Peek(c.raw) != sock.Readable
 }
 
-// setInRequest tells closeWhenIdle whether a request is being read.
-func (c *session) setInRequest(inRequest bool) {
+// setBusy tells closeWhenIdle whether the reader waits for a request.
+func (c *session) setBusy(isBusy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = inRequest
+	c.isBusy = isBusy
 }
 
 func (c *session) setReadDeadline(d clock.Milli) {
@@ -277,7 +280,7 @@
 	if c.closing.Load() {
 		return
 	}
-	if c.closesIdle.Load() && !c.inRequest && c.unanswered.Load() == 0 {
+	if c.closesIdle.Load() && !c.isBusy && c.unanswered.Load() == 0 {
 		d = idleCheckTime
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(d.Duration()))
