--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -28,6 +28,17 @@
 	Cost      rules.Cost
 }
 
+// deepest returns the operation at the end of the chain of o, and how often one
+// request of o calls it.
+func (o *Operation) deepest() (last *Operation, times int) {
+	last, times = o, 1
+	for last.Calls != nil {
+		times *= max(1, last.CallCount)
+		last = last.Calls
+	}
+	return last, times
+}
+
 // Stream is a part of the load: root requests to one operation with one
 // importance.
 type Stream struct {
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -102,11 +102,7 @@
 	demand := float64(s.Deployment.Demand) * float64(s.SurgePercent) / 100
 	needed := 0.0
 	for _, stream := range s.Deployment.Streams {
-		last, times := stream.Op, 1
-		for last.Calls != nil {
-			times *= max(1, last.CallCount)
-			last = last.Calls
-		}
+		last, times := stream.Op.deepest()
 		needed += demand * float64(stream.Share) / 100 * float64(times) * float64(last.OwnTime) / float64(clock.Second)
 	}
 	slots := float64(s.Deployment.Services[s.Deployment.DeepService].Slots * centres * s.Deployment.PerCentre)
@@ -239,11 +235,7 @@
 	var deepTime float64
 	for _, stream := range s.Deployment.Streams {
 		rate := demand * float64(stream.Share) / 100
-		last, times := stream.Op, 1
-		for last.Calls != nil {
-			times *= max(1, last.CallCount)
-			last = last.Calls
-		}
+		last, times := stream.Op.deepest()
 		if last.Service != s.Deployment.DeepService {
 			shallowRate += rate
 			continue
--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -2,18 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,7 +16,6 @@
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/rescue"
-	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -80,19 +73,6 @@
 	MaxIdle clock.Milli
 }
 
-const (
-	// maxMismatches is the number of answers to other requests that are read
-	// before the client gives the connection up, and maxInterim that of interim
-	// answers before each.
-	maxMismatches = 4
-	maxInterim    = 8
-	// recentEchoes is the number of exchanges for which a connection remembers
-	// the echo.
-	recentEchoes = 8
-	// headBytes is the usual size of a request's header.
-	headBytes = 1 << 10
-)
-
 // Do sends r to addr and returns the complete answer, whose body is taken from
 // the hold of ctx. When ctx ends, the connection is closed at once, which the
 // other end sees as a client disconnect. Errors are of type [*Error]; the kind
@@ -259,223 +239,6 @@
 	}
 }
 
-const (
-	// readBufferBytes is the size of a read buffer. The header of an answer must
-	// fit in it.
-	readBufferBytes = 8 << 10
-	// keepAliveMargin is subtracted from the idle timeout that the other end
-	// announces, so that no request is sent while the other end closes.
-	keepAliveMargin = 500 * clock.Millisecond
-	// asyncWriteBytes is the size of a body from which the request is written by
-	// its own goroutine, so that an early answer can be read meanwhile.
-	asyncWriteBytes = 16 << 10
-)
-
-// conn is one connection of a client.
-type conn struct {
-	raw net.Conn
-	br  *bufio.Reader
-	// idleSince is the end of the last exchange. From usableUntil on, the
-	// connection must not be reused.
-	idleSince   clock.Milli
-	usableUntil clock.Milli
-	// peerIdle is the idle timeout that the other end announced, less a margin;
-	// 0 if it announced none.
-	peerIdle clock.Milli
-	// recent holds the echoes of the last exchanges, the next one at position
-	// exchanges modulo its length.
-	recent    [recentEchoes]uint64
-	exchanges int
-}
-
-// record remembers the echo of an exchange.
-func (n *conn) record(echo uint64) {
-	n.recent[n.exchanges%recentEchoes] = echo
-	n.exchanges++
-}
-
-// hasCarried reports whether one of the last exchanges had the echo.
-func (n *conn) hasCarried(echo uint64) bool { return echo != 0 && slices.Contains(n.recent[:], echo) }
-
-var (
-	errMismatched = errors.New("received only answers to other requests")
-	errInterim    = errors.New("received only interim answers")
-)
-
-// reading tells how to read an answer.
-type reading struct {
-	header    func(h *fasthttp.ResponseHeader, br *bufio.Reader) error
-	echoField string
-	maxBody   int
-	hold      *hold.Hold
-}
-
-// exchange sends r and reads its answer. It also reports whether the connection
-// may be reused.
-func (n *conn) exchange(r *Request, how reading) (guard.Answer, bool, error) {
-	wrote := make(chan error, 1)
-	if len(r.Body) < asyncWriteBytes {
-		head := appendRequest(make([]byte, 0, headBytes+len(r.Body)), r)
-		_, err := n.raw.Write(append(head, r.Body...))
-		wrote <- err
-		if err != nil && isClosedByPeer(err) {
-			// The other end may have sent an answer before it closed.
-			err = nil
-		}
-		if err != nil {
-			return guard.Answer{}, false, err
-		}
-	} else {
-		go func() {
-			bufs := net.Buffers{appendRequest(make([]byte, 0, headBytes), r), r.Body}
-			_, err := bufs.WriteTo(n.raw)
-			wrote <- err
-		}()
-	}
-	a, reusable, err := n.read(r, how)
-	if err != nil {
-		return a, false, err
-	}
-	select {
-	case werr := <-wrote:
-		reusable = reusable && werr == nil
-	default:
-		// The answer came before the request was written completely. The rest
-		// must not run into the next request on this connection.
-		reusable = false
-	}
-	return a, reusable, nil
-}
-
-// read reads answers until one belongs to r. It also reports whether the
-// connection may be reused.
-func (n *conn) read(r *Request, how reading) (guard.Answer, bool, error) {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	wantEcho := ""
-	if how.echoField != "" {
-		wantEcho = r.Get(how.echoField)
-	}
-	reusable := true
-	for range maxMismatches {
-		body, err := n.readAnswer(resp, r.Method == fasthttp.MethodHead, how)
-		if err != nil {
-			return guard.Answer{}, false, err
-		}
-		if wantEcho != "" && string(resp.Header.Peek(how.echoField)) != wantEcho {
-			how.hold.Shrink(cap(body))
-			reusable = false
-			continue
-		}
-		reusable = reusable && n.isReusable(resp)
-		return copyAnswer(resp, body), reusable, nil
-	}
-	return guard.Answer{}, false, errMismatched
-}
-
-// readAnswer reads one final answer. It leaves the header in resp and returns
-// the body, which is empty if noBody is set.
-func (n *conn) readAnswer(resp *fasthttp.Response, noBody bool, how reading) ([]byte, error) {
-	h := &resp.Header
-	for range maxInterim {
-		resp.Reset()
-		if err := how.header(h, n.br); err != nil {
-			return nil, err
-		}
-		if status := h.StatusCode(); status < fasthttp.StatusContinue || status >= fasthttp.StatusOK {
-			break
-		}
-	}
-	if !hasBody(h.StatusCode()) {
-		if h.StatusCode() < fasthttp.StatusOK {
-			return nil, errInterim
-		}
-		return nil, nil
-	}
-	if noBody {
-		return nil, nil
-	}
-	length := h.ContentLength()
-	body, err := readBody(n.br, length, how.maxBody, how.hold)
-	if err != nil {
-		return nil, err
-	}
-	if length == lengthChunked {
-		if err := h.ReadTrailer(n.br); err != nil {
-			how.hold.Shrink(cap(body))
-			return nil, unexpected(err)
-		}
-	}
-	if length == lengthUntilClose {
-		h.SetConnectionClose()
-	}
-	return body, nil
-}
-
-// unexpected returns err, or that a message ended too early for the end of a
-// connection.
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// isReusable reports whether the connection may be used after the answer.
-func (n *conn) isReusable(resp *fasthttp.Response) bool {
-	if resp.ConnectionClose() || n.br.Buffered() > 0 {
-		return false
-	}
-	n.peerIdle = keepAliveTimeout(resp.Header.Peek("Keep-Alive"))
-	return true
-}
-
-// keepAliveTimeout parses the timeout of a Keep-Alive field and subtracts the
-// margin. It returns 0 if there is no valid timeout.
-func keepAliveTimeout(value []byte) clock.Milli {
-	_, after, ok := bytes.Cut(value, []byte("timeout="))
-	if !ok {
-		return 0
-	}
-	digits, _, _ := strings.Cut(string(after), ",")
-	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return max(clock.Milli(seconds)*clock.Second-keepAliveMargin, clock.Millisecond)
-}
-
-// isUnusable reports whether the other end has closed the connection or sent
-// bytes that belong to no request.
-func (n *conn) isUnusable() bool { return sock.Peek(n.raw) != sock.Open }
-
-// abort ends a running exchange from another goroutine.
-func (n *conn) abort() { _ = n.raw.Close() }
-
-func (n *conn) close() { _ = n.raw.Close() }
-
-func kindOf(err error) Kind {
-	var chunk fasthttp.ErrBrokenChunk
-	var head *fasthttp.ErrSmallBuffer
-	var panicked *rescue.Error
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
-		return Timeout
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.As(err, &head):
-		return TooLarge
-	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadBody), errors.As(err, &chunk),
-		errors.As(err, &panicked):
-		return BadAnswer
-	}
-	return Interrupted
-}
-
-// isClosedByPeer reports whether a write failed because the other end had
-// closed the connection.
-func isClosedByPeer(err error) bool {
-	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // WithTimeout returns a context that ends after left.
 func WithTimeout(ctx context.Context, left clock.Milli) (context.Context, context.CancelFunc) {
 	return context.WithTimeoutCause(ctx, time.Duration(max(left, 0))*time.Millisecond,
