Log how long an attempt waited and how long its target had been leaving when it was sent

An attempt that reaches a leaving target too late could not be told from one that was admitted too late: the line of an attempt had neither its wait for a slot nor the age of the leave at the moment of sending, and success at a leaving target was sampled. Event 501 has both now and is kept for every attempt that was sent to a leaving target; the histogram siskin_leaving_age shows the same over time. No logic changes.

--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -92,17 +92,19 @@
 	answer := m.scope.Histogram("answer_time", latencyBuckets)
 	wait := m.scope.Histogram("slot_wait", latencyBuckets)
 	work := m.scope.Histogram("target_time", latencyBuckets)
+	leaving := m.scope.Histogram("leaving_age", latencyBuckets)
 	return flow.Metrics{
 		Answered: func(end string, took clock.Milli) {
 			m.count("answers", "end", end)
 			answer.RecordDuration(took.Duration())
 		},
-		SlotWait:   func(took clock.Milli) { wait.RecordDuration(took.Duration()) },
-		TargetTime: func(took clock.Milli) { work.RecordDuration(took.Duration()) },
-		Attempts:   func() { attempts.Inc(1) },
-		Retries:    func() { repeats.Inc(1) },
-		Refused:    func(reason string) { m.count("refusals", "reason", reason) },
-		ConnOpened: func() { opened.Inc(1) },
+		SlotWait:    func(took clock.Milli) { wait.RecordDuration(took.Duration()) },
+		TargetTime:  func(took clock.Milli) { work.RecordDuration(took.Duration()) },
+		SentLeaving: func(age clock.Milli) { leaving.RecordDuration(age.Duration()) },
+		Attempts:    func() { attempts.Inc(1) },
+		Retries:     func() { repeats.Inc(1) },
+		Refused:     func(reason string) { m.count("refusals", "reason", reason) },
+		ConnOpened:  func() { opened.Inc(1) },
 	}
 }
 
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -40,6 +40,7 @@
 	counts.ConnOpened()
 	counts.SlotWait(clock.Second)
 	counts.TargetTime(clock.Second)
+	counts.SentLeaving(clock.Second)
 	m.count("panics", "op", "tick")
 	m.count("malformed", "status", "400")
 	m.memory("answers", hold.Stats{})
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -12,8 +12,8 @@
 )
 
 // admit asks the gate for a slot, waits for it if need be, and runs the request
-// at the target.
-func (n *Inbound) admit(ctx context.Context, r *http1.Request, hop peer.Hop) (guard.Answer, peer.Feedback) {
+// at the target. It records in p how the request was passed on.
+func (n *Inbound) admit(ctx context.Context, r *http1.Request, hop peer.Hop, p *passage) (guard.Answer, peer.Feedback) {
 	now := n.cfg.Clock.Now()
 	gate, ok := n.gateFor(now, hop)
 	if !ok {
@@ -43,7 +43,8 @@
 	case admit.Run:
 	}
 	start := n.cfg.Clock.Now()
-	n.cfg.Metrics.SlotWait(start - now)
+	p.waited = start - now
+	n.cfg.Metrics.SlotWait(p.waited)
 	runTime := clock.Milli(-1)
 	defer func() { gate.Done(req, runTime) }()
 	if ctx.Err() != nil {
@@ -52,9 +53,11 @@
 	if hop.Key != "" && !n.table.Start(hop.Key) {
 		return n.refuse(r, hop, "fenced")
 	}
+	p.leaving = n.leavingAge()
 	a, fb := n.sendToTarget(ctx, r, hop, deadline)
 	for n.mayRetryTarget(ctx, hop, fb, deadline) {
 		hop.Repeat = true
+		p.leaving = n.leavingAge()
 		a, fb = n.sendToTarget(ctx, r, hop, deadline)
 	}
 	n.recordOutcome(hop, a, fb)
@@ -65,6 +68,19 @@
 	return a, fb
 }
 
+// leavingAge returns how long the target has been known to leave, 0 if it is not
+// leaving. It records the age for a request that is sent now.
+func (n *Inbound) leavingAge() clock.Milli {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leavingSince == 0 {
+		return 0
+	}
+	age := max(n.cfg.Clock.Now()-n.leavingSince, 1)
+	n.cfg.Metrics.SentLeaving(age)
+	return age
+}
+
 // isOtherTarget reports whether the target of this host is known not to be the
 // one with the id. Such a request is refused here: the target would reject it
 // with a 421, and the rejected arrival would still count as an attempt that
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -56,6 +56,9 @@
 	// how long the target took for it.
 	SlotWait   func(took clock.Milli)
 	TargetTime func(took clock.Milli)
+	// SentLeaving reports a request that is sent to a leaving target, and how
+	// long ago the leave became known.
+	SentLeaving func(age clock.Milli)
 	// Attempts reports an attempt that the outbound side sends.
 	Attempts func()
 	// Retries reports a retry that was taken from the retry budget.
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -135,20 +135,30 @@
 // The answer was made by the target only if the outcome is [peer.Done].
 func (n *Inbound) Run(ctx context.Context, r *http1.Request, hop peer.Hop) (guard.Answer, peer.Feedback) {
 	start := n.cfg.Clock.Now()
-	a, fb := n.dispatch(ctx, r, hop)
+	var p passage
+	a, fb := n.dispatch(ctx, r, hop, &p)
 	fb.Received = true
 	fb.Threshold = fb.Threshold.Max(n.DownstreamThreshold(hop.Path))
-	n.log(r, hop, &a, fb, n.cfg.Clock.Now()-start)
+	n.log(r, hop, &a, fb, p, n.cfg.Clock.Now()-start)
 	return a, fb
 }
 
+// passage tells how a request was passed on to the target.
+type passage struct {
+	// waited is how long it waited for a slot.
+	waited clock.Milli
+	// leaving is how long the target had been known to leave when the request
+	// was sent to it last, 0 if it was not leaving or nothing was sent.
+	leaving clock.Milli
+}
+
 // log writes one line about an attempt. Successful attempts are sampled by the
-// root of their request.
-func (n *Inbound) log(r *http1.Request, hop peer.Hop, a *guard.Answer, fb peer.Feedback, took clock.Milli) {
+// root of their request, but for those at a leaving target.
+func (n *Inbound) log(r *http1.Request, hop peer.Hop, a *guard.Answer, fb peer.Feedback, p passage, took clock.Milli) {
 	if hop.IsQuery && hop.Key == "" {
 		return
 	}
-	isSuccess := fb.Outcome == peer.Done && a.Status < fasthttp.StatusInternalServerError
+	isSuccess := fb.Outcome == peer.Done && a.Status < fasthttp.StatusInternalServerError && p.leaving == 0
 	if isSuccess && !isSampled(hop.RootHash) {
 		return
 	}
@@ -165,23 +175,25 @@
 		zap.Int("running", fb.Running),
 		zap.Int("limit", fb.Limit),
 		zap.Stringer("threshold", fb.Threshold),
+		zap.Int64("waited", int64(p.waited)),
+		zap.Int64("leaving", int64(p.leaving)),
 		zap.Int("sample", sampleWeight(isSuccess)),
 		zap.Int64("took", int64(took)))
 }
 
-func (n *Inbound) dispatch(ctx context.Context, r *http1.Request, hop peer.Hop) (guard.Answer, peer.Feedback) {
+func (n *Inbound) dispatch(ctx context.Context, r *http1.Request, hop peer.Hop, p *passage) (guard.Answer, peer.Feedback) {
 	if hop.IsQuery {
 		return n.answerQuery(r, hop)
 	}
 	if hop.Key == "" {
-		return n.admit(ctx, r, hop)
+		return n.admit(ctx, r, hop, p)
 	}
 	tk := ticketOf(hop)
 	v := n.table.Begin(n.cfg.Clock.Now(), tk, xxhash.Sum64(r.Body)^xxhash.Sum64String(r.URI))
 	if v.Status != guard.Fresh {
 		return n.verdictAnswer(r, v)
 	}
-	return n.admit(ctx, r, hop)
+	return n.admit(ctx, r, hop, p)
 }
 
 func ticketOf(hop peer.Hop) ticket.Ticket {
--- a/internal/trans/flow/inbound_test.go
+++ b/internal/trans/flow/inbound_test.go
@@ -27,9 +27,10 @@
 			TargetAddr: "127.0.0.1:1",
 		},
 		Metrics: Metrics{
-			SlotWait:   func(clock.Milli) {},
-			TargetTime: func(clock.Milli) {},
-			Refused:    func(string) {},
+			SlotWait:    func(clock.Milli) {},
+			TargetTime:  func(clock.Milli) {},
+			SentLeaving: func(clock.Milli) {},
+			Refused:     func(string) {},
 		},
 		Incarnation: 1,
 		RetryWindow: clock.Second,
