Hand back the queued requests of a target that has left

What was seen: a request reached a target more than the drain time after the target had said that it leaves (DRAIN). Cause: the inbound side looked at the leave when a request arrived, not when it was passed on. A request that had to wait for a slot was sent whenever a slot came free, up to its own deadline later; so was a request that the target had rejected and that was repeated there.

Change: when the target takes no new work, all queued requests are handed back at once as not run, so that they are sent to other targets, and the leave is looked at again in the last step before sending and before each repeat.

--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -50,6 +50,9 @@
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, peer.ReasonCanceled)
 	}
+	if n.hasLeft(start) {
+		return n.refuse(r, hop, peer.ReasonLeaving)
+	}
 	if hop.Key != "" && !n.table.Start(hop.Key) {
 		return n.refuse(r, hop, "fenced")
 	}
@@ -106,10 +109,19 @@
 	if !hop.Repeat {
 		n.retries.window.RecordRequest(now)
 	}
-	if n.draining {
-		return n.gate, false
-	}
-	return n.gate, n.leavingSince == 0 || now-n.leavingSince < n.cfg.DrainTime*leavingPercent/100
+	return n.gate, !n.draining && !n.isLeft(now)
+}
+
+// hasLeft reports whether the target may get no more requests because it leaves.
+func (n *Inbound) hasLeft(now clock.Milli) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isLeft(now)
+}
+
+// isLeft is hasLeft for a caller that holds n.mu.
+func (n *Inbound) isLeft(now clock.Milli) bool {
+	return n.leavingSince != 0 && now-n.leavingSince >= n.cfg.DrainTime*leavingPercent/100
 }
 
 // awaitSlot waits until a queued request gets its slot. It returns the reason
@@ -129,6 +141,8 @@
 		return admit.QueueFull.String()
 	case slot.Expired:
 		return admit.DeadlineTooClose.String()
+	case slot.Withdrawn:
+		return peer.ReasonLeaving
 	case slot.Started:
 	}
 	return ""
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -38,7 +38,7 @@
 	// defaultSlots is the number of slots of a target without a record.
 	defaultSlots = 32
 	// leavingPercent is the part of the drain time in which the daemon of a
-	// leaving target still accepts requests, because callers may not know yet
+	// leaving target still passes requests on, because callers may not know yet
 	// that the target leaves.
 	leavingPercent = 40
 	// minRetryAfter is the least Retry-After of a refused request.
@@ -309,14 +309,20 @@
 	n.draining = true
 }
 
-// Tick expires queued requests, old guard entries and idle connections. It must
-// be called at least ten times a second.
+// Tick expires queued requests, old guard entries and idle connections, and hands
+// back the queued requests of a target that has left. It must be called at least
+// ten times a second.
 func (n *Inbound) Tick() {
+	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	gate := n.gate
+	hasLeft := n.isLeft(now)
 	n.mu.Unlock()
+	if hasLeft {
+		gate.WithdrawQueued()
+	}
 	gate.Tick()
-	n.table.Sweep(n.cfg.Clock.Now())
+	n.table.Sweep(now)
 	n.targetClient.Sweep()
 }
 
--- a/internal/trans/slot/slot.go
+++ b/internal/trans/slot/slot.go
@@ -20,6 +20,8 @@
 	Evicted
 	// Expired means that the request can no longer finish before its deadline.
 	Expired
+	// Withdrawn means that the target takes no new work any more.
+	Withdrawn
 )
 
 // Gate is an [admit.Gate] that is safe for concurrent use.
@@ -81,6 +83,18 @@
 	return true
 }
 
+// WithdrawQueued removes all queued requests, which receive [Withdrawn].
+func (g *Gate) WithdrawQueued() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	for seq, ch := range g.waiting {
+		g.inner.Cancel(now, seq)
+		ch <- Withdrawn
+		delete(g.waiting, seq)
+	}
+}
+
 // Tick adjusts the limit and the threshold, and starts or expires queued
 // requests. It must be called at least once per window of the gate.
 func (g *Gate) Tick() {
