Refuse work for a target that left before its daemon started

What was seen: a daemon that was started again beside a leaving target passed on whatever other daemons sent (DRAIN, where they know the leave as late). Cause: the inbound side knew a leave only as a change of a record that it had seen before, and a new daemon had seen none. State that must hold was derived from a transition.

Change: a record that says so is enough. A target that never had a record still takes work, since others may know its record earlier.

--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -275,15 +275,18 @@
 	return n.cfg.refusal(r.Get(n.cfg.Headers.ID), "refused: "+reason, fb.Wait), fb
 }
 
-// SetTarget updates the record of the target. ok is false if there is none.
+// SetTarget updates the record of the target. ok is false if there is none. A
+// target that never had a record takes work: other daemons may know its record
+// earlier than this one.
 // conns is the number of connections that the target accepts, 0 if unknown. A
 // restarted or changed target gets a new, empty gate.
 func (n *Inbound) SetTarget(t model.Target, ok bool, conns int) {
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	isKnown := ok || n.targetRecord.ID != ""
 	if !ok || t.Leaving {
-		if n.leavingSince == 0 && n.targetRecord.ID != "" {
+		if n.leavingSince == 0 && isKnown {
 			n.leavingSince = now
 		}
 		return
