Count a leave that became known late from before it was known

What was seen: after an outage of the store, the daemon beside a target whose record had been removed meanwhile took work for up to 0.8 s (backoff) + 2.5 s (the record may come back) + 1.2 s (time for others to learn) after the store's return, where a machine is bound again after 3 s on the small sites and 4 s on the grown ones (DRAIN). Cause: the time for which the daemon of a leaving target still takes work began when that daemon learned of the leave, although by then everybody had been bound for long.

Change: what was found in a list, or was still missing after an outage, is marked late, and a late leave is refused at once as not run.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -82,7 +82,7 @@
 	watchWait = 15 * clock.Second
 	// minBackoff and maxBackoff bound the backoff after a failed read.
 	minBackoff = 100 * clock.Millisecond
-	maxBackoff = 800 * clock.Millisecond
+	maxBackoff = 400 * clock.Millisecond
 )
 
 // Config configures a [Follower].
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -233,11 +233,15 @@
 		return
 	}
 	t, ok := v.Fleet.ByAddr(d.settings.Target)
-	conns := 0
+	u := flow.TargetUpdate{
+		Target:    t,
+		HasRecord: ok,
+		IsLate:    v.IsLate,
+	}
 	if v.Config != nil {
-		conns = v.Config.Services[d.settings.Service].Conns
+		u.Conns = v.Config.Services[d.settings.Service].Conns
 	}
-	d.inbound.SetTarget(t, ok, conns)
+	d.inbound.SetTarget(u)
 }
 
 // callerLimits returns the limits for the callers' requests: those of the
--- a/internal/proxy/store.go
+++ b/internal/proxy/store.go
@@ -17,7 +17,7 @@
 const (
 	// storeDialTimeout limits connecting to the store, storeListTimeout reading
 	// one page of a list.
-	storeDialTimeout = clock.Second
+	storeDialTimeout = 500 * clock.Millisecond
 	storeListTimeout = 4 * clock.Second
 	// watchMargin is how much longer than requested a watch may take before the
 	// store counts as unreachable.
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -82,6 +82,7 @@
 		targets = append(targets, t)
 	}
 	vt.update(func(v *model.View) {
+		v.IsLate = true
 		v.Config = vt.newestConfig(v.Config, items)
 		v.Fleet = v.Fleet.WithList(now, targets, afterOutage)
 	})
@@ -91,6 +92,7 @@
 // applyChanges applies the changes that a watch returned, in their order.
 func (vt *viewTracker) applyChanges(_ clock.Milli, items []watch.Item) {
 	vt.update(func(v *model.View) {
+		v.IsLate = false
 		v.Config = vt.newestConfig(v.Config, items)
 		for _, item := range items {
 			if strings.HasPrefix(item.Key, platform.TargetPrefix) {
@@ -166,6 +168,9 @@
 // long.
 func (vt *viewTracker) expireTargets(now clock.Milli) {
 	if _, isDue := vt.view.Load().Fleet.WithoutExpired(now); isDue {
-		vt.update(func(v *model.View) { v.Fleet, _ = v.Fleet.WithoutExpired(now) })
+		vt.update(func(v *model.View) {
+			v.IsLate = true
+			v.Fleet, _ = v.Fleet.WithoutExpired(now)
+		})
 	}
 }
--- a/internal/state/model/fleet.go
+++ b/internal/state/model/fleet.go
@@ -11,7 +11,7 @@
 // MissingGrace is how long a target is kept whose record was missing when the
 // store became reachable again after an outage. Records that expired during the
 // outage are written again within two seconds of its end.
-const MissingGrace = 2500 * clock.Millisecond
+const MissingGrace = 2100 * clock.Millisecond
 
 // Fleet is an immutable set of targets.
 type Fleet struct {
@@ -139,4 +139,7 @@
 	// Config is nil until a configuration has been read.
 	Config *Config
 	Fleet  Fleet
+	// IsLate says that what changed last may have changed long before: it was
+	// found in a list, or a record was still missing after an outage.
+	IsLate bool
 }
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -121,7 +121,7 @@
 
 // isLeft is hasLeft for a caller that holds n.mu.
 func (n *Inbound) isLeft(now clock.Milli) bool {
-	return n.leavingSince != 0 && now-n.leavingSince >= n.cfg.DrainTime*leavingPercent/100
+	return n.leavingSince != 0 && now >= n.acceptUntil
 }
 
 // awaitSlot waits until a queued request gets its slot. It returns the reason
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -72,10 +72,12 @@
 	// actualID is the id that the target or its record reported last, "" if
 	// unknown.
 	actualID string
-	// leavingSince is the instant at which the record said that the target
-	// leaves, or disappeared. It is 0 while the target is in use.
+	// leavingSince is the instant at which it became known that the target
+	// leaves, or that its record is gone. It is 0 while the target is in use.
 	leavingSince clock.Milli
-	draining     bool
+	// acceptUntil is the instant from which a leaving target takes no work.
+	acceptUntil clock.Milli
+	draining    bool
 }
 
 // NewInbound returns an inbound side that accepts requests.
@@ -275,19 +277,27 @@
 	return n.cfg.refusal(r.Get(n.cfg.Headers.ID), "refused: "+reason, fb.Wait), fb
 }
 
-// SetTarget updates the record of the target. ok is false if there is none. A
-// target that never had a record takes work: other daemons may know its record
-// earlier than this one.
-// conns is the number of connections that the target accepts, 0 if unknown. A
-// restarted or changed target gets a new, empty gate.
-func (n *Inbound) SetTarget(t model.Target, ok bool, conns int) {
-	now := n.cfg.Clock.Now()
+// TargetUpdate is what the view says of the target of the host.
+type TargetUpdate struct {
+	Target model.Target
+	// HasRecord is false if the target has no record. Target is empty then.
+	HasRecord bool
+	// IsLate says that the change may have been made long ago.
+	IsLate bool
+	// Conns is the number of connections that the target accepts, 0 if unknown.
+	Conns int
+}
+
+// SetTarget updates the record of the target. A target that never had a record
+// takes work: other daemons may know its record earlier than this one. A restarted
+// or changed target gets a new, empty gate.
+func (n *Inbound) SetTarget(u TargetUpdate) {
+	t := u.Target
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	isKnown := ok || n.targetRecord.ID != ""
-	if !ok || t.Leaving {
-		if n.leavingSince == 0 && isKnown {
-			n.leavingSince = now
+	if !u.HasRecord || t.Leaving {
+		if u.HasRecord || n.targetRecord.ID != "" {
+			n.recordLeave(u.IsLate)
 		}
 		return
 	}
@@ -299,11 +309,24 @@
 	n.actualID = t.ID
 	n.gate = slot.New(admit.Config{
 		Slots: max(t.Slots, 1),
-		Conns: conns,
+		Conns: u.Conns,
 	}, n.cfg.Clock)
 	n.targetClient.Drop(n.cfg.Self.TargetAddr)
 }
 
+// recordLeave begins the leave of the target, unless it has begun. One that became
+// known late leaves no time for daemons that do not know it yet. n.mu must be held.
+func (n *Inbound) recordLeave(isLate bool) {
+	if n.leavingSince != 0 {
+		return
+	}
+	n.leavingSince = n.cfg.Clock.Now()
+	n.acceptUntil = n.leavingSince
+	if !isLate {
+		n.acceptUntil += n.cfg.DrainTime * leavingPercent / 100
+	}
+}
+
 // Drain makes the inbound side refuse new requests. Running and queued ones go
 // on.
 func (n *Inbound) Drain() {
