Apply views in the order in which they are published

What could be seen: a target that leaves is in use again at its own daemon until the next change of the store (DRAIN). Cause: the view was published under the lock, but applied to the inbound side after it. When the ticker dropped a missing record while the follower applied a change, the older view could be applied last and cancel the leave. The class is a state published and consumed in two steps without one order.

Evidence: TestViewsAreAppliedInOrder failed on the code before: applied [2 1]. Change: updates and their application share the lock; applying takes no other lock of the tracker. The test and those of proxy pass, also with the race detector.

--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -21,7 +21,7 @@
 // locking.
 type viewTracker struct {
 	log *zap.Logger
-	// onUpdate is called with each new view, without the lock.
+	// onUpdate is called with each new view, in their order.
 	onUpdate func(*model.View)
 	// onPanic is called with a panic while a record was decoded.
 	onPanic func(*rescue.Error)
@@ -29,7 +29,7 @@
 	decodeTarget func(key string, value []byte) (model.Target, error)
 	decodeConfig func(value []byte) (*model.Config, error)
 
-	// mu serializes updates.
+	// mu serializes updates and the calls of onUpdate.
 	mu   sync.Mutex
 	view atomic.Pointer[model.View]
 }
@@ -51,16 +51,12 @@
 // gets a shallow copy: it replaces fields and must not modify what they refer
 // to.
 func (vt *viewTracker) update(change func(v *model.View)) {
-	vt.onUpdate(vt.publish(change))
-}
-
-func (vt *viewTracker) publish(change func(v *model.View)) *model.View {
 	vt.mu.Lock()
 	defer vt.mu.Unlock()
 	next := *vt.view.Load()
 	change(&next)
 	vt.view.Store(&next)
-	return &next
+	vt.onUpdate(&next)
 }
 
 // applyList replaces the targets by those of a complete list of the store, and
