--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -50,17 +50,17 @@
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, peer.ReasonCanceled)
 	}
-	if n.hasLeft(start) {
+	if !n.mayStart(start) {
 		return n.refuse(r, hop, peer.ReasonLeaving)
 	}
 	if hop.Key != "" && !n.table.Start(hop.Key) {
 		return n.refuse(r, hop, "fenced")
 	}
-	p.leaving = n.leavingAge()
+	n.recordSend(p)
 	a, fb := n.sendToTarget(ctx, r, hop, deadline)
 	for n.mayRetryTarget(ctx, hop, fb, deadline) {
 		hop.Repeat = true
-		p.leaving = n.leavingAge()
+		n.recordSend(p)
 		a, fb = n.sendToTarget(ctx, r, hop, deadline)
 	}
 	n.recordOutcome(hop, a, fb)
@@ -71,17 +71,17 @@
 	return a, fb
 }
 
-// leavingAge returns how long the target has been known to leave, 0 if it is not
-// leaving. It records the age for a request that is sent now.
-func (n *Inbound) leavingAge() clock.Milli {
+// recordSend records in p, and in the metrics, a request that is sent to the target
+// now, if the target is leaving.
+func (n *Inbound) recordSend(p *passage) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.leavingSince == 0 {
-		return 0
+	since := n.leavingSince
+	n.mu.Unlock()
+	if since == 0 {
+		return
 	}
-	age := max(n.cfg.Clock.Now()-n.leavingSince, 1)
-	n.cfg.Metrics.SentLeaving(age)
-	return age
+	p.leaving = max(n.cfg.Clock.Now()-since, 1)
+	n.cfg.Metrics.SentLeaving(p.leaving)
 }
 
 // isOtherTarget reports whether the target of this host is known not to be the
@@ -109,18 +109,20 @@
 	if !hop.Repeat {
 		n.retries.window.RecordRequest(now)
 	}
-	return n.gate, !n.draining && !n.isLeft(now)
+	return n.gate, !n.draining && !n.hasLeft(now)
 }
 
-// hasLeft reports whether the target may get no more requests because it leaves.
-func (n *Inbound) hasLeft(now clock.Milli) bool {
+// mayStart reports whether a request that has waited may still be sent to the
+// target.
+func (n *Inbound) mayStart(now clock.Milli) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.isLeft(now)
+	return !n.hasLeft(now)
 }
 
-// isLeft is hasLeft for a caller that holds n.mu.
-func (n *Inbound) isLeft(now clock.Milli) bool {
+// hasLeft reports whether the target may get no more requests because it leaves.
+// n.mu must be held.
+func (n *Inbound) hasLeft(now clock.Milli) bool {
 	return n.leavingSince != 0 && now >= n.acceptUntil
 }
 
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -342,7 +342,7 @@
 	now := n.cfg.Clock.Now()
 	n.mu.Lock()
 	gate := n.gate
-	hasLeft := n.isLeft(now)
+	hasLeft := n.hasLeft(now)
 	n.mu.Unlock()
 	if hasLeft {
 		gate.WithdrawQueued()
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -88,7 +88,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.isLeft(now) && n.retries.take(now, rankOf(hop.Importance, hop.RootHash))
+	return !n.hasLeft(now) && n.retries.take(now, rankOf(hop.Importance, hop.RootHash))
 }
 
 // isFromTarget reports whether an answer was made by the target: a success must
