Log and count how each read of the store ended

No line said when a read was sent and how long it waited; event 205 comes once an outage. Event 208 now tells of each read that ended without an answer after 200 ms or more, siskin_store_reads counts all by outcome. No logic changes.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -120,6 +120,8 @@
 	// Abandoned is called when a silent watch is given up: the newest change that
 	// is known here, and the one that others know.
 	Abandoned func(seen, heard int64)
+	// ReadEnded is called for each read that ended; nil ignores them.
+	ReadEnded func(r Read)
 }
 
 // Follower follows one prefix. Run owns inOutage and backoff; the other methods
@@ -144,6 +146,9 @@
 
 // New returns a follower that has not read anything.
 func New(cfg Config) *Follower {
+	if cfg.ReadEnded == nil {
+		cfg.ReadEnded = func(Read) {}
+	}
 	return &Follower{
 		cfg:      cfg,
 		backoff:  minBackoff,
@@ -176,7 +181,7 @@
 	revision := int64(-1)
 	after := ""
 	for {
-		page, err := f.cfg.Source.List(ctx, f.cfg.Prefix, after)
+		page, err := f.timed(List, func() (Page, error) { return f.cfg.Source.List(ctx, f.cfg.Prefix, after) })
 		if err != nil {
 			return 0, err
 		}
@@ -202,7 +207,9 @@
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o := f.beginWatch(cancel)
-	page, err := f.cfg.Source.Watch(watchCtx, f.cfg.Prefix, revision, f.watchWait())
+	page, err := f.timed(Watch, func() (Page, error) {
+		return f.cfg.Source.Watch(watchCtx, f.cfg.Prefix, revision, f.watchWait())
+	})
 	wasAbandoned := f.endWatch(o)
 	if err != nil && wasAbandoned && ctx.Err() == nil {
 		return revision, nil
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -39,6 +39,7 @@
 	StoreDown        = Event{Number: 205, Text: "store could not be read"}
 	StoreUp          = Event{Number: 206, Text: "store can be read again"}
 	WatchAbandoned   = Event{Number: 207, Text: "silent watch of the store was given up"}
+	ReadUnanswered   = Event{Number: 208, Text: "read of the store went unanswered"}
 	MemberChanged    = Event{Number: 300, Text: "member changed state"}
 	TargetLeaving    = Event{Number: 301, Text: "target is leaving"}
 	Resumed          = Event{Number: 302, Text: "daemon was paused"}
@@ -99,6 +100,7 @@
 		StoreDown,
 		StoreUp,
 		WatchAbandoned,
+		ReadUnanswered,
 		MemberChanged,
 		TargetLeaving,
 		Resumed,
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -66,6 +66,9 @@
 	// messageMemoryPercent is the share of the process's memory limit for the
 	// bodies of requests in progress, and the same again for those of answers.
 	messageMemoryPercent = 12
+	// unansweredAfter is how long a failed read of the store took if it is to be
+	// logged.
+	unansweredAfter = 200 * clock.Millisecond
 	// malformedRetryAfter is the Retry-After of a request that there was no
 	// memory for.
 	malformedRetryAfter = 500 * clock.Millisecond
@@ -335,9 +338,24 @@
 			d.meter.count("watches_abandoned", "reason", "silent")
 			event.Warn(d.log, event.WatchAbandoned, zap.Int64("seen", seen), zap.Int64("heard", heard))
 		},
+		ReadEnded: d.readEnded,
 	})
 }
 
+// readEnded counts a read of the store, and logs it if its caller waited for
+// nothing.
+func (d *Daemon) readEnded(r watch.Read) {
+	outcome := string(r.Op) + "_answered"
+	if r.Err != nil {
+		outcome = string(r.Op) + "_failed"
+	}
+	d.meter.count("store_reads", "outcome", outcome)
+	if r.Err != nil && r.Took >= unansweredAfter {
+		event.Warn(d.log, event.ReadUnanswered, zap.String("op", string(r.Op)), zap.Int64("took", int64(r.Took)),
+			zap.Error(r.Err))
+	}
+}
+
 // tick does the periodic work until ctx is cancelled.
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery.Duration())
