Send an unanswered read of the store again on another connection

Cause: a list sent while the store was silent is never answered, also after the store's return, and the daemon waited for it until its time limit of 4 s, longer than the 2.5 s that it serves. The class: a time limit longer than the promise that rests on it, and knowledge that stops at the one read that is waited for. The same class stood in a watch's patience, which doubled to 4 s with each loss.

Change: a read is a set of attempts. A list is sent again after 500 ms and then each second, a watch so once others know more; attempts go on beside later ones, so that a slow store is still read, and the first answer counts. All times are parts of the bounds in the settings. A watch that ends unanswered while others know more is sent once more in place of a list. Event 207 and its metric are replaced by 209 and siskin_store_reads.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -8,11 +8,13 @@
 // fleet do not all return to the store at the same time.
 //
 // An answer of the store may be lost on a connection that stays open, so that a
-// watch hears nothing although there are changes. Two things bound that time. Other
-// daemons tell which change they know ([Follower.Hear]); a watch that stays silent
-// though they know more is given up and made again on another connection. And each
+// read hears nothing although the store could be read on another. Such a read is
+// sent again while it goes unanswered, and the first answer counts. A list is sent
+// again in any case. A watch is silent as long as nothing changes; it is sent again
+// when other daemons know a change that it did not bring ([Follower.Hear]). Each
 // watch takes a random time, so that of all daemons some ask the store anew every
-// second and can tell the others.
+// second and can tell the others. An attempt is not given up when the next begins,
+// because the store may only be slow.
 //
 // During an outage of the store the last known state stays in use. A target
 // whose record is missing from the first list after the outage may only have
@@ -23,7 +25,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 
@@ -75,21 +76,34 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Source reads the store. Both functions return an [*Error] on failure.
+// Source reads the store. Both functions return an [*Error] on failure. They are
+// called concurrently, and must return when their context ends.
 type Source struct {
 	// List returns the first items under prefix whose keys follow after.
-	List func(ctx context.Context, prefix, after string) (Page, error)
-	// Watch returns the changes after a revision, or none once it has waited
-	// for wait.
-	Watch func(ctx context.Context, prefix string, after int64, wait clock.Milli) (Page, error)
+	List func(ctx context.Context, r ListRequest) (Page, error)
+	// Watch returns the changes after a revision, or none once it has waited.
+	Watch func(ctx context.Context, r ChangesRequest) (Page, error)
 }
 
-// Timing of the reads.
-const (
-	// minBackoff and maxBackoff bound the backoff after a failed read.
-	minBackoff = 100 * clock.Millisecond
-	maxBackoff = 400 * clock.Millisecond
-)
+// ListRequest asks for a page of a list.
+type ListRequest struct {
+	Prefix string
+	// After is the key that the page follows, empty for the first page.
+	After string
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// ChangesRequest asks for changes.
+type ChangesRequest struct {
+	Prefix string
+	// After is the revision that the changes follow.
+	After int64
+	// Wait is how long the store may wait for a change.
+	Wait clock.Milli
+	// Fresh asks for a new connection.
+	Fresh bool
+}
 
 // Config configures a [Follower].
 type Config struct {
@@ -97,10 +111,7 @@
 	Source Source
 	// Prefix selects the keys to follow.
 	Prefix string
-	// BatchDelay is the delay between a change and the next watch, so that one
-	// read returns the changes of that time. It is also the longest time for
-	// which a change stays unknown while the store answers.
-	BatchDelay clock.Milli
+	Timing Timing
 	// Readers returns the number of daemons that follow the store.
 	Readers func() int
 	// Jitter returns a random duration below the given one.
@@ -117,11 +128,10 @@
 	// OutageEnded once the store has been listed again.
 	OutageBegan func(err error)
 	OutageEnded func()
-	// Abandoned is called when a silent watch is given up: the newest change that
-	// is known here, and the one that others know.
-	Abandoned func(seen, heard int64)
-	// ReadEnded is called for each read that ended; nil ignores them.
-	ReadEnded func(r Read)
+	// AttemptEnded is called for each attempt at a read that ended, Repeated when an
+	// unanswered read is about to be sent again. nil ignores them.
+	AttemptEnded func(a Attempt)
+	Repeated     func(r Repeat)
 }
 
 // Follower follows one prefix. Run owns inOutage and backoff; the other methods
@@ -139,20 +149,21 @@
 	seen     int64
 	heard    int64
 	heardAt  clock.Milli
-	// open is the watch that waits for changes, nil if there is none.
-	open     *openWatch
-	patience clock.Milli
+	// reading is the read in progress, nil if there is none.
+	reading *read
 }
 
 // New returns a follower that has not read anything.
 func New(cfg Config) *Follower {
-	if cfg.ReadEnded == nil {
-		cfg.ReadEnded = func(Read) {}
+	if cfg.AttemptEnded == nil {
+		cfg.AttemptEnded = func(Attempt) {}
+	}
+	if cfg.Repeated == nil {
+		cfg.Repeated = func(Repeat) {}
 	}
 	return &Follower{
-		cfg:      cfg,
-		backoff:  minBackoff,
-		patience: minPatience,
+		cfg:     cfg,
+		backoff: cfg.Timing.MinBackoff,
 	}
 }
 
@@ -163,8 +174,7 @@
 		for err == nil {
 			revision, err = f.watch(ctx, revision)
 		}
-		var e *Error
-		if errors.As(err, &e) && e.Kind == HistoryLost {
+		if isHistoryLost(err) {
 			continue
 		}
 		if ctx.Err() == nil {
@@ -181,7 +191,13 @@
 	revision := int64(-1)
 	after := ""
 	for {
-		page, err := f.timed(List, func() (Page, error) { return f.cfg.Source.List(ctx, f.cfg.Prefix, after) })
+		page, err := f.read(ctx, List, func(ctx context.Context, fresh bool) (Page, error) {
+			return f.cfg.Source.List(ctx, ListRequest{
+				Prefix: f.cfg.Prefix,
+				After:  after,
+				Fresh:  fresh,
+			})
+		})
 		if err != nil {
 			return 0, err
 		}
@@ -204,16 +220,14 @@
 
 // watch does one watch and returns the revision from which to continue.
 func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	o := f.beginWatch(cancel)
-	page, err := f.timed(Watch, func() (Page, error) {
-		return f.cfg.Source.Watch(watchCtx, f.cfg.Prefix, revision, f.watchWait())
+	page, err := f.read(ctx, Watch, func(ctx context.Context, fresh bool) (Page, error) {
+		return f.cfg.Source.Watch(ctx, ChangesRequest{
+			Prefix: f.cfg.Prefix,
+			After:  revision,
+			Wait:   f.watchWait(),
+			Fresh:  fresh,
+		})
 	})
-	wasAbandoned := f.endWatch(o)
-	if err != nil && wasAbandoned && ctx.Err() == nil {
-		return revision, nil
-	}
 	if err != nil {
 		return revision, err
 	}
@@ -231,7 +245,7 @@
 		f.cfg.Changed(now, page.Items)
 		select {
 		case <-ctx.Done():
-		case <-f.cfg.Clock.After(f.cfg.BatchDelay):
+		case <-f.cfg.Clock.After(f.cfg.Timing.Batch):
 		}
 	}
 	return page.Revision, nil
@@ -239,7 +253,7 @@
 
 // recordSuccess resets the backoff and ends an outage.
 func (f *Follower) recordSuccess() {
-	f.backoff = minBackoff
+	f.backoff = f.cfg.Timing.MinBackoff
 	if f.inOutage {
 		f.inOutage = false
 		f.cfg.OutageEnded()
@@ -253,7 +267,7 @@
 		f.cfg.OutageBegan(err)
 	}
 	pause := f.backoff/2 + f.cfg.Jitter(f.backoff/2+1)
-	f.backoff = min(maxBackoff, f.backoff*2)
+	f.backoff = min(f.cfg.Timing.MaxBackoff, f.backoff*2)
 	select {
 	case <-ctx.Done():
 	case <-f.cfg.Clock.After(pause):
--- /dev/null
+++ b/internal/coord/watch/read_test.go
@@ -0,0 +1,366 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"siskinswitch.example/siskin/pkg/clock"
+)
+
+const (
+	// bound is that of the timing in these tests, listed the revision of the list
+	// with which the follower begins.
+	bound  = 2500 * clock.Millisecond
+	listed = 7
+)
+
+// sent is an attempt that reached the store of a rig.
+type sent struct {
+	op    Op
+	after int64
+	fresh bool
+	reply chan answer
+	ctx   context.Context
+}
+
+// rig is a follower whose store answers as the test says, on a clock that the test
+// moves.
+type rig struct {
+	t       *testing.T
+	f       *Follower
+	now     atomic.Int64
+	sent    chan *sent
+	listed  chan bool
+	changed chan []Item
+	outages atomic.Int32
+}
+
+// newRig starts a follower. Its backoff ends at once.
+func newRig(t *testing.T) *rig {
+	g := &rig{
+		t:       t,
+		sent:    make(chan *sent, 100),
+		listed:  make(chan bool, 100),
+		changed: make(chan []Item, 100),
+	}
+	g.now.Store(int64(clock.Second))
+	g.f = New(Config{
+		Clock: clock.Clock{
+			Now: func() clock.Milli { return clock.Milli(g.now.Load()) },
+			After: func(clock.Milli) <-chan time.Time {
+				ended := make(chan time.Time, 1)
+				ended <- time.Time{}
+				return ended
+			},
+		},
+		Source: Source{
+			List: func(ctx context.Context, r ListRequest) (Page, error) {
+				return g.receive(ctx, &sent{
+					op:    List,
+					fresh: r.Fresh,
+				})
+			},
+			Watch: func(ctx context.Context, r ChangesRequest) (Page, error) {
+				return g.receive(ctx, &sent{
+					op:    Watch,
+					after: r.After,
+					fresh: r.Fresh,
+				})
+			},
+		},
+		Timing:      TimingFor(bound),
+		Readers:     func() int { return 1 },
+		Jitter:      func(clock.Milli) clock.Milli { return 0 },
+		Listed:      func(_ clock.Milli, _ []Item, afterOutage bool) { g.listed <- afterOutage },
+		Changed:     func(_ clock.Milli, items []Item) { g.changed <- items },
+		Answered:    func(clock.Milli) {},
+		OutageBegan: func(error) { g.outages.Add(1) },
+		OutageEnded: func() {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return g
+}
+
+// receive passes an attempt to the test and waits for its answer.
+func (g *rig) receive(ctx context.Context, s *sent) (Page, error) {
+	s.ctx = ctx
+	s.reply = make(chan answer, 1)
+	g.sent <- s
+	select {
+	case a := <-s.reply:
+		return a.page, a.err
+	case <-ctx.Done():
+		return Page{}, &Error{
+			Op:  "read",
+			Err: ctx.Err(),
+		}
+	}
+}
+
+func (s *sent) succeed(revision int64, items ...Item) {
+	s.reply <- answer{
+		page: Page{
+			Revision: revision,
+			Items:    items,
+		},
+	}
+}
+
+func (s *sent) fail(kind Kind) {
+	s.reply <- answer{
+		err: &Error{
+			Op:   "read",
+			Kind: kind,
+			Err:  errors.New("no answer"),
+		},
+	}
+}
+
+// next returns the next attempt, which must have the given op.
+func (g *rig) next(op Op) *sent {
+	g.t.Helper()
+	select {
+	case s := <-g.sent:
+		if s.op != op {
+			g.t.Fatalf("the follower sent a %s, want a %s", s.op, op)
+		}
+		return s
+	case <-time.After(5 * time.Second):
+		g.t.Fatalf("the follower sent no %s", op)
+		return nil
+	}
+}
+
+// pass moves the clock by d and calls Tick.
+func (g *rig) pass(d clock.Milli) {
+	g.now.Add(int64(d))
+	g.f.Tick()
+}
+
+// wantNone checks that the next attempt is not due yet.
+func (g *rig) wantNone(why string) {
+	g.t.Helper()
+	if len(g.f.reading.repeat) > 0 || len(g.sent) > 0 {
+		g.t.Fatalf("sent again %s", why)
+	}
+}
+
+// watching returns a rig whose follower has listed the store, and its first watch.
+func watching(t *testing.T) (*rig, *sent) {
+	t.Helper()
+	g := newRig(t)
+	g.next(List).succeed(listed)
+	w := g.next(Watch)
+	return g, w
+}
+
+// Guards against a daemon that waits for a read which the store never answers, and
+// learns of changes seconds after others (CONFIG, DRAIN).
+func TestUnansweredReadIsSentAgain(t *testing.T) {
+	timing := TimingFor(bound)
+	tests := map[string]struct {
+		op    Op
+		heard int64
+		// waits are the times without an answer after each of which the read is sent
+		// again. With none, it never is.
+		waits []clock.Milli
+	}{
+		"list": {
+			op:    List,
+			waits: []clock.Milli{timing.MinRepeat, 2 * timing.MinRepeat, timing.MaxRepeat, timing.MaxRepeat},
+		},
+		"watch, others know as much": {
+			op:    Watch,
+			heard: listed,
+		},
+		"watch, others know less": {
+			op:    Watch,
+			heard: listed - 1,
+		},
+		"watch, others know more": {
+			op:    Watch,
+			heard: listed + 1,
+			waits: []clock.Milli{timing.MinRepeat, 2 * timing.MinRepeat, timing.MaxRepeat, timing.MaxRepeat},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t)
+			first := g.next(List)
+			if tt.op == Watch {
+				first.succeed(listed)
+				first = g.next(Watch)
+			}
+			if first.fresh {
+				t.Error("the first attempt asks for a new connection")
+			}
+			g.f.Hear(tt.heard)
+			if len(tt.waits) == 0 {
+				g.pass(clock.Minute)
+				g.wantNone("though others know nothing newer")
+				return
+			}
+			for _, wait := range tt.waits {
+				g.pass(wait - 1)
+				g.wantNone("too early")
+				g.pass(1)
+				s := g.next(tt.op)
+				if !s.fresh || s.after != first.after {
+					t.Errorf("sent again after %d with fresh %v, want %d on a new connection", s.after, s.fresh, first.after)
+				}
+				if first.ctx.Err() != nil {
+					t.Error("the attempt before was given up")
+				}
+			}
+		})
+	}
+}
+
+// A list that was sent before others could read the store is sent again as soon as
+// they can, and not before MinRepeat.
+func TestListIsSentAgainOnceOthersRead(t *testing.T) {
+	timing := TimingFor(bound)
+	g := newRig(t)
+	g.next(List)
+	g.pass(timing.MinRepeat)
+	g.next(List)
+	g.pass(timing.MinRepeat - 1)
+	g.f.Hear(listed)
+	g.f.Tick()
+	g.wantNone("before MinRepeat")
+	g.pass(1)
+	s := g.next(List)
+	g.pass(timing.MinRepeat)
+	g.wantNone("twice for one thing heard")
+	s.succeed(listed)
+	g.next(Watch)
+}
+
+// The first answer counts, whichever attempt it is for, and ends the others. A
+// store that is slow but answers is read with one list.
+func TestFirstAnswerCounts(t *testing.T) {
+	tests := map[string]struct {
+		answered int
+	}{
+		"of the first attempt, late": {},
+		"of the repeat": {
+			answered: 1,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t)
+			first := g.next(List)
+			g.pass(bound)
+			attempts := []*sent{first, g.next(List)}
+			attempts[tt.answered].succeed(listed)
+			g.next(Watch)
+			other := attempts[1-tt.answered]
+			select {
+			case <-other.ctx.Done():
+			case <-time.After(5 * time.Second):
+				t.Error("the other attempt goes on")
+			}
+			if len(g.listed) != 1 || g.outages.Load() != 0 {
+				t.Errorf("%d lists, %d outages, want 1 and 0", len(g.listed), g.outages.Load())
+			}
+		})
+	}
+}
+
+// An attempt that fails ends the read only if no other is in progress, or if it
+// tells that history was lost.
+func TestFailedAttempt(t *testing.T) {
+	tests := map[string]struct {
+		fails []Kind
+		// want is the op of the next read, empty if the one in progress goes on.
+		want Op
+	}{
+		"another is in progress": {
+			fails: []Kind{Unavailable},
+		},
+		"another is in progress, refused": {
+			fails: []Kind{Rejected},
+		},
+		"all fail": {
+			fails: []Kind{Unavailable, Unavailable},
+			want:  List,
+		},
+		"history lost": {
+			fails: []Kind{HistoryLost},
+			want:  List,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, first := watching(t)
+			g.f.Hear(listed + 1)
+			g.pass(bound)
+			attempts := []*sent{first, g.next(Watch)}
+			for i, kind := range tt.fails {
+				attempts[i].fail(kind)
+			}
+			if tt.want != "" {
+				g.next(tt.want)
+				return
+			}
+			attempts[1].succeed(listed+1, Item{
+				Key:      "k",
+				Revision: listed + 1,
+			})
+			if items := <-g.changed; len(items) != 1 {
+				t.Errorf("%d changes, want 1", len(items))
+			}
+			if g.outages.Load() != 0 {
+				t.Error("an outage began")
+			}
+		})
+	}
+}
+
+// Guards against a record that is kept for a while after it was removed because a
+// watch ended without an answer although others could read the store (DRAIN).
+func TestWatchThatMissedAChangeIsNoOutage(t *testing.T) {
+	tests := map[string]struct {
+		heard int64
+		want  []Op
+	}{
+		"others know as much": {
+			heard: listed,
+			want:  []Op{List},
+		},
+		"others know more": {
+			heard: listed + 1,
+			want:  []Op{Watch, List},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, w := watching(t)
+			g.f.Hear(tt.heard)
+			w.fail(Unavailable)
+			got := make([]Op, 0, len(tt.want))
+			for range tt.want {
+				s := <-g.sent
+				got = append(got, s.op)
+				s.fail(Unavailable)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("next reads %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -38,8 +38,8 @@
 	ServiceUp        = Event{Number: 204, Text: "configuration service can be read again"}
 	StoreDown        = Event{Number: 205, Text: "store could not be read"}
 	StoreUp          = Event{Number: 206, Text: "store can be read again"}
-	WatchAbandoned   = Event{Number: 207, Text: "silent watch of the store was given up"}
 	ReadUnanswered   = Event{Number: 208, Text: "read of the store went unanswered"}
+	ReadRepeated     = Event{Number: 209, Text: "unanswered read of the store is sent again"}
 	MemberChanged    = Event{Number: 300, Text: "member changed state"}
 	TargetLeaving    = Event{Number: 301, Text: "target is leaving"}
 	Resumed          = Event{Number: 302, Text: "daemon was paused"}
@@ -99,8 +99,8 @@
 		ServiceUp,
 		StoreDown,
 		StoreUp,
-		WatchAbandoned,
 		ReadUnanswered,
+		ReadRepeated,
 		MemberChanged,
 		TargetLeaving,
 		Resumed,
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -66,17 +66,12 @@
 	// messageMemoryPercent is the share of the process's memory limit for the
 	// bodies of requests in progress, and the same again for those of answers.
 	messageMemoryPercent = 12
-	// unansweredAfter is how long a failed read of the store took if it is to be
-	// logged.
+	// unansweredAfter is how long a failed attempt at a read of the store took if it
+	// is to be logged.
 	unansweredAfter = 200 * clock.Millisecond
 	// malformedRetryAfter is the Retry-After of a request that there was no
 	// memory for.
 	malformedRetryAfter = 500 * clock.Millisecond
-	// batchDivisor is the part of the drain time for which changes in the store
-	// are gathered. Each read of one daemon is paid for, and in a fleet all
-	// daemons read each change. The rest of the drain time is for the target's
-	// own daemon, which learns of the leave as late and then refuses.
-	batchDivisor = 5
 	// hopHeadBytes is the room for the header fields that daemons add to a
 	// request.
 	hopHeadBytes = 1 << 10
@@ -320,42 +315,42 @@
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	return watch.New(watch.Config{
-		Clock:      d.clock,
-		Source:     newStoreClient(d.settings.Store, d.clock, d.contain).source(),
-		BatchDelay: clock.Milli(d.settings.Drain) / batchDivisor,
-		Readers:    func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
-		Jitter:     func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
+		Clock:   d.clock,
+		Source:  newStoreClient(d.settings.Store, d.clock, d.contain).source(),
+		Timing:  watch.TimingFor(d.settings.changeBound()),
+		Readers: func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
+		Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed: func(now clock.Milli, items []watch.Item, afterOutage bool) {
 			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, afterOutage) })
 		},
 		Changed: func(now clock.Milli, items []watch.Item) {
 			d.run("apply changes of the store", func() { d.viewTracker.applyChanges(now, items) })
 		},
-		Answered:    func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
-		OutageBegan: func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
-		OutageEnded: func() { event.Info(d.log, event.StoreUp) },
-		Abandoned: func(seen, heard int64) {
-			d.meter.count("watches_abandoned", "reason", "silent")
-			event.Warn(d.log, event.WatchAbandoned, zap.Int64("seen", seen), zap.Int64("heard", heard))
-		},
-		ReadEnded: d.readEnded,
+		Answered:     func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
+		OutageBegan:  func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
+		OutageEnded:  func() { event.Info(d.log, event.StoreUp) },
+		AttemptEnded: d.readEnded,
+		Repeated:     d.readRepeated,
 	})
 }
 
-// readEnded counts a read of the store, and logs it if its caller waited for
-// nothing.
-func (d *Daemon) readEnded(r watch.Read) {
-	outcome := string(r.Op) + "_answered"
-	if r.Err != nil {
-		outcome = string(r.Op) + "_failed"
-	}
-	d.meter.count("store_reads", "outcome", outcome)
-	if r.Err != nil && r.Took >= unansweredAfter {
-		event.Warn(d.log, event.ReadUnanswered, zap.String("op", string(r.Op)), zap.Int64("took", int64(r.Took)),
-			zap.Error(r.Err))
+// readEnded counts an attempt at a read of the store, and logs it if it was waited
+// for in vain.
+func (d *Daemon) readEnded(a watch.Attempt) {
+	d.meter.count("store_reads", "outcome", string(a.Op)+"_"+string(a.Outcome))
+	if a.Outcome == watch.Failed && a.Took >= unansweredAfter {
+		event.Warn(d.log, event.ReadUnanswered, zap.String("op", string(a.Op)), zap.Int("attempt", a.Number),
+			zap.Int64("took", int64(a.Took)), zap.Error(a.Err))
 	}
 }
 
+// readRepeated counts and logs that an unanswered read of the store is sent again.
+func (d *Daemon) readRepeated(r watch.Repeat) {
+	d.meter.count("store_reads", "outcome", string(r.Op)+"_repeated")
+	event.Warn(d.log, event.ReadRepeated, zap.String("op", string(r.Op)), zap.Int("attempt", r.Number),
+		zap.Int64("seen", r.Seen), zap.Int64("heard", r.Heard))
+}
+
 // tick does the periodic work until ctx is cancelled.
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery.Duration())
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"strconv"
+
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // Settings are the daemon's settings on the platform, in JSON. The platform
@@ -33,6 +35,9 @@
 	Store string `json:"store"`
 	// Memory is the memory limit of the process in MB.
 	Memory int `json:"memory"`
+	// Change is the time in milliseconds within which a change of the configuration
+	// is in force after the store has acknowledged it; 0 means that of Drain.
+	Change int `json:"change"`
 	// Drain is the time in milliseconds after which a leaving target gets no
 	// new work. Grace is the time in seconds between the request to stop and
 	// the kill.
@@ -145,6 +150,10 @@
 			value: float64(s.Window),
 			least: 1,
 		},
+		{
+			name:  "change",
+			value: float64(s.Change),
+		},
 		{
 			name:  "ratio",
 			value: s.Ratio,
@@ -165,6 +174,15 @@
 	return nil
 }
 
+// changeBound returns the time within which every change in the store must be in
+// force: the configuration's, and the leave of a target.
+func (s *Settings) changeBound() clock.Milli {
+	if s.Change == 0 {
+		return clock.Milli(s.Drain)
+	}
+	return clock.Milli(min(s.Change, s.Drain))
+}
+
 // inboundPort returns the port of the inbound listener, which is the same on
 // all hosts, or 0 if Inbound has no numeric port.
 func (s *Settings) inboundPort() int {
--- a/internal/proxy/store.go
+++ b/internal/proxy/store.go
@@ -34,6 +34,16 @@
 	client *http1.Client
 }
 
+// storeRead is one attempt at a read.
+type storeRead struct {
+	op  string
+	uri string
+	// limit is how long the answer may take.
+	limit clock.Milli
+	// fresh asks for a new connection.
+	fresh bool
+}
+
 func newStoreClient(addr string, c clock.Clock, onPanic func(*rescue.Error)) *storeClient {
 	return &storeClient{
 		addr: addr,
@@ -54,18 +64,28 @@
 	}
 }
 
-func (s *storeClient) list(ctx context.Context, prefix, after string) (watch.Page, error) {
-	op := "list " + prefix
-	a, err := s.get(ctx, op, platform.RangeURI(prefix, after), storeListTimeout)
+func (s *storeClient) list(ctx context.Context, r watch.ListRequest) (watch.Page, error) {
+	op := "list " + r.Prefix
+	a, err := s.get(ctx, storeRead{
+		op:    op,
+		uri:   platform.RangeURI(r.Prefix, r.After),
+		limit: storeListTimeout,
+		fresh: r.Fresh,
+	})
 	if err != nil {
 		return watch.Page{}, err
 	}
 	return decodePage(op, a, platform.DecodeRange)
 }
 
-func (s *storeClient) watch(ctx context.Context, prefix string, after int64, wait clock.Milli) (watch.Page, error) {
-	op := "watch " + prefix
-	a, err := s.get(ctx, op, platform.WatchURI(prefix, after, wait), wait+watchMargin)
+func (s *storeClient) watch(ctx context.Context, r watch.ChangesRequest) (watch.Page, error) {
+	op := "watch " + r.Prefix
+	a, err := s.get(ctx, storeRead{
+		op:    op,
+		uri:   platform.WatchURI(r.Prefix, r.After, r.Wait),
+		limit: r.Wait + watchMargin,
+		fresh: r.Fresh,
+	})
 	if err != nil {
 		return watch.Page{}, err
 	}
@@ -94,14 +114,16 @@
 // Otherwise the error is a [*watch.Error]; its kind says whether the store gave
 // no answer, has dropped the history that a watch needs, or refused the
 // request.
-func (s *storeClient) get(ctx context.Context, op, uri string, wait clock.Milli) (guard.Answer, error) {
-	ctx, cancel := http1.WithTimeout(ctx, wait)
+func (s *storeClient) get(ctx context.Context, r storeRead) (guard.Answer, error) {
+	ctx, cancel := http1.WithTimeout(ctx, r.limit)
 	defer cancel()
 	a, err := s.client.Do(ctx, s.addr, &http1.Request{
 		Method: fasthttp.MethodGet,
 		Host:   s.addr,
-		URI:    uri,
-	}, http1.Options{})
+		URI:    r.uri,
+	}, http1.Options{
+		Fresh: r.fresh,
+	})
 	kind := watch.Unavailable
 	switch {
 	case err != nil:
@@ -115,7 +137,7 @@
 		err = fmt.Errorf("status %d", a.Status)
 	}
 	return a, &watch.Error{
-		Op:   op,
+		Op:   r.op,
 		Kind: kind,
 		Err:  err,
 	}
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -37,10 +37,6 @@
 	atMostOnceMaxIdle = 250 * clock.Millisecond
 	// defaultSlots is the number of slots of a target without a record.
 	defaultSlots = 32
-	// leavingPercent is the part of the drain time in which the daemon of a
-	// leaving target still passes requests on, because callers may not know yet
-	// that the target leaves.
-	leavingPercent = 40
 	// minRetryAfter is the least Retry-After of a refused request.
 	minRetryAfter = 200 * clock.Millisecond
 	// notFullPercent is the share of the limit up to which the target is not
@@ -48,6 +44,11 @@
 	notFullPercent = 90
 )
 
+// LeavingPercent is the part of the drain time in which the daemon of a leaving
+// target still passes requests on, because other daemons may not know yet that the
+// target leaves.
+const LeavingPercent = 40
+
 // Inbound admits requests to the target of its host. All requests for the
 // target pass it. It is safe for concurrent use.
 type Inbound struct {
@@ -323,7 +324,7 @@
 	n.leavingSince = n.cfg.Clock.Now()
 	n.acceptUntil = n.leavingSince
 	if !isLate {
-		n.acceptUntil += n.cfg.DrainTime * leavingPercent / 100
+		n.acceptUntil += n.cfg.DrainTime * LeavingPercent / 100
 	}
 }
 
