Leave out an odd entry of the store alone

What other operators saw: daemons that end, or stop following the list, because of one entry of another writer.

Cause, by reading and tests: a page of the store was decoded as one document, so one item with a field of another type failed the whole page; the daemon then listed again and again and followed nothing. Negative and endless numbers in a configuration were put in force.

Change: each item is decoded by itself; one that can't be read is reported with its key and left out, and the revision goes on.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -37,6 +37,9 @@
 	Value    []byte
 	Revision int64
 	Removed  bool
+	// Err says why the item can't be read, nil if it can. Such an item may have
+	// no key.
+	Err error
 }
 
 // Page is the result of one read: the items of a list or of a part of it, or
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -132,6 +132,7 @@
 	d.incarnation = max(binary.LittleEndian.Uint64(random[8:]), 1)
 	d.viewTracker = newViewTracker(log, d.applyView)
 	d.viewTracker.onPanic = d.contain
+	d.viewTracker.onUnreadable = func(kind string) { d.meter.count("records_unreadable", "kind", kind) }
 	d.follower = d.newFollower()
 	cfg := flow.Config{
 		Clock:   c,
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -43,6 +43,7 @@
 	counts.SentLeaving(clock.Second)
 	m.count("panics", "op", "tick")
 	m.count("store_reads", "outcome", "list_failed")
+	m.count("records_unreadable", "kind", "target")
 	m.count("malformed", "status", "400")
 	m.memory("answers", hold.Stats{})
 	m.gauges(admit.Stats{}, &model.View{}, unknownAge)
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -23,8 +23,10 @@
 	log *zap.Logger
 	// onUpdate is called with each new view, in their order.
 	onUpdate func(*model.View)
-	// onPanic is called with a panic while a record was decoded.
-	onPanic func(*rescue.Error)
+	// onPanic is called with a panic while a record was decoded, onUnreadable with
+	// the kind of each item that can't be read.
+	onPanic      func(*rescue.Error)
+	onUnreadable func(kind string)
 	// decodeTarget and decodeConfig decode records. Tests replace them.
 	decodeTarget func(key string, value []byte) (model.Target, error)
 	decodeConfig func(value []byte) (*model.Config, error)
@@ -40,6 +42,7 @@
 		onUpdate: onUpdate,
 		onPanic:  func(*rescue.Error) {},
 
+		onUnreadable: func(string) {},
 		decodeTarget: platform.DecodeTarget,
 		decodeConfig: platform.DecodeConfig,
 	}
@@ -67,12 +70,12 @@
 func (vt *viewTracker) applyList(now clock.Milli, items []watch.Item, afterOutage bool) {
 	targets := make([]model.Target, 0, len(items))
 	for _, item := range items {
-		if !strings.HasPrefix(item.Key, platform.TargetPrefix) {
+		if !isTarget(item) {
 			continue
 		}
 		t, err := vt.target(item)
 		if err != nil {
-			event.Warn(vt.log, event.RecordUnreadable, zap.String("key", item.Key), zap.Error(err))
+			vt.leaveOut(item, err)
 			continue
 		}
 		targets = append(targets, t)
@@ -91,7 +94,7 @@
 		v.IsLate = false
 		v.Config = vt.newestConfig(v.Config, items)
 		for _, item := range items {
-			if strings.HasPrefix(item.Key, platform.TargetPrefix) {
+			if isTarget(item) {
 				v.Fleet = vt.withItem(v.Fleet, item)
 			}
 		}
@@ -108,6 +111,7 @@
 		}
 		c, err := vt.config(item)
 		if err != nil {
+			vt.onUnreadable("config")
 			event.Warn(vt.log, event.ConfigRefused, zap.Int64("revision", item.Revision), zap.Error(err))
 			continue
 		}
@@ -120,8 +124,23 @@
 	return current
 }
 
+// isTarget reports whether an item is the record of a target. An item without a
+// key counts as one, so that it is reported.
+func isTarget(item watch.Item) bool {
+	return item.Key == "" || strings.HasPrefix(item.Key, platform.TargetPrefix)
+}
+
+// leaveOut reports a record of a target that can't be read.
+func (vt *viewTracker) leaveOut(item watch.Item, err error) {
+	vt.onUnreadable("target")
+	event.Warn(vt.log, event.RecordUnreadable, zap.String("key", item.Key), zap.Error(err))
+}
+
 // target decodes the record of a target. A panic makes the record unreadable.
 func (vt *viewTracker) target(item watch.Item) (t model.Target, err error) {
+	if item.Err != nil {
+		return model.Target{}, item.Err
+	}
 	panicked := rescue.Run("decode a target", func() { t, err = vt.decodeTarget(item.Key, item.Value) })
 	if panicked != nil {
 		vt.onPanic(panicked)
@@ -132,6 +151,9 @@
 
 // config decodes a configuration. A panic makes it unreadable.
 func (vt *viewTracker) config(item watch.Item) (c *model.Config, err error) {
+	if item.Err != nil {
+		return nil, item.Err
+	}
 	panicked := rescue.Run("decode a configuration", func() { c, err = vt.decodeConfig(item.Value) })
 	if panicked != nil {
 		vt.onPanic(panicked)
@@ -150,7 +172,7 @@
 	}
 	t, err := vt.target(item)
 	if err != nil {
-		event.Warn(vt.log, event.RecordUnreadable, zap.String("key", item.Key), zap.Error(err))
+		vt.leaveOut(item, err)
 		return f.Without(id)
 	}
 	if old, ok := f.Targets[id]; !ok || old.Leaving != t.Leaving || old.StartTime != t.StartTime {
