Never send a refused request again on the connection of its refusal

What other operators saw: an instance writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a request that runs.

Cause: an answer is matched to its request by the id that it echoes, so a copy is dropped unless the same request is sent again on the same connection. A connection remembered the ids of its last 8 exchanges only; with 8 or more others between, a copy of the first refusal counted for the second attempt, which ran.

Change: a connection remembers every exchange that was refused or failed, and is closed after 1,024 of them.

Result: TestCopiedRefusalDeniesNoRun was red with 8, 20 and 24 requests between (1 run denied in each) and is green up to 2,048. Copies at once and before the next answer, with 360 requests each through real daemons, are nobody's answer (TestCopiedRefusalsAreNobodysAnswer, green before too: their ids are not sent again so late).

--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -86,7 +86,7 @@
 	n.record(echo)
 	stop := context.AfterFunc(ctx, n.abort)
 	a, reusable, err := c.exchange(ctx, n, r)
-	if !stop() {
+	if !stop() || !n.recordAnswer(echo, a.Status) {
 		reusable = false
 	}
 	if err != nil || !reusable || o.Fresh {
@@ -197,9 +197,9 @@
 	}, nil
 }
 
-// pop removes and returns the connection used last that has not carried the echo
-// lately, or nil. On one that has, a late second copy of the earlier answer could
-// not be told from the answer to this request.
+// pop removes and returns the connection used last that has not carried the echo,
+// or nil. On one that has, a late second copy of the earlier answer could not be told
+// from the answer to this request.
 func (c *Client) pop(addr string, echo uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -30,6 +30,9 @@
 	// recentEchoes is the number of exchanges for which a connection remembers
 	// the echo.
 	recentEchoes = 8
+	// maxRefusals is the number of refusals after which a connection is closed. It
+	// remembers each of them, since a late copy of one could deny a later run.
+	maxRefusals = 1 << 10
 	// headBytes is the usual size of a message's header.
 	headBytes = 1 << 10
 	// readBufferBytes is the size of a read buffer. The header of an answer must
@@ -58,6 +61,8 @@
 	// exchanges modulo its length.
 	recent    [recentEchoes]uint64
 	exchanges int
+	// refused holds the echoes of all exchanges that were refused or failed.
+	refused []uint64
 }
 
 // record remembers the echo of an exchange.
@@ -66,8 +71,20 @@
 	n.exchanges++
 }
 
-// hasCarried reports whether one of the last exchanges had the echo.
-func (n *conn) hasCarried(echo uint64) bool { return echo != 0 && slices.Contains(n.recent[:], echo) }
+// recordAnswer remembers how an exchange ended, and reports whether the connection
+// has room for another refusal.
+func (n *conn) recordAnswer(echo uint64, status int) bool {
+	if echo != 0 && status >= fasthttp.StatusBadRequest {
+		n.refused = append(n.refused, echo)
+	}
+	return len(n.refused) < maxRefusals
+}
+
+// hasCarried reports whether one of the last exchanges had the echo, or any that
+// was refused.
+func (n *conn) hasCarried(echo uint64) bool {
+	return echo != 0 && (slices.Contains(n.recent[:], echo) || slices.Contains(n.refused, echo))
+}
 
 var (
 	errMismatched = errors.New("received only answers to other requests")
