Leave out an odd entry of the list of hosts alone

The class of the odd entry in the store, looked for elsewhere: the list of hosts of the older interface was decoded as one document, so one entry of another type failed the whole list, at each read, and entries without a name or with a port out of range were believed.

Change: each entry is decoded and checked by itself; one that can't be read is left out with event 305.

Result: TestOddHostIsLeftOut is new, with nine kinds of entries; without the change it can't compile (OnOddHost), and the entries of another type fail the list by the decoder that stood there.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -128,6 +128,7 @@
 		OnError: func(err error) {
 			event.Warn(log, event.HostsDown, zap.Error(err))
 		},
+		OnOddHost: func(err error) { event.Warn(log, event.OddHost, zap.Error(err)) },
 	})
 	k.agent = agent.New(agent.Config{
 		Self: member.Peer{
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -45,6 +45,7 @@
 	Resumed          = Event{Number: 302, Text: "daemon was paused"}
 	Refuted          = Event{Number: 303, Text: "daemon refuted a report of its death"}
 	PeerRefused      = Event{Number: 304, Text: "control connection refused"}
+	OddHost          = Event{Number: 305, Text: "entry of the list of hosts was left out"}
 	TargetsListed    = Event{Number: 310, Text: "targets listed"}
 	TargetSeen       = Event{Number: 311, Text: "target seen or changed"}
 	TargetGone       = Event{Number: 312, Text: "target gone"}
@@ -106,6 +107,7 @@
 		Resumed,
 		Refuted,
 		PeerRefused,
+		OddHost,
 		TargetsListed,
 		TargetSeen,
 		TargetGone,
--- a/internal/trans/source/hosts.go
+++ b/internal/trans/source/hosts.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
 
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
 const opHosts = "read hosts"
 
-// Hosts reads the list of hosts once.
+// Hosts reads the list of hosts once. An entry that can't be read is reported to
+// OnOddHost and left out.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	x := c.exchanger(ctx, c.cfg.RosterAddr)
 	defer x.close()
@@ -20,17 +24,46 @@
 	if err := r.check(opHosts); err != nil {
 		return nil, err
 	}
-	var hosts []Host
-	if err := json.Unmarshal(r.body, &hosts); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(r.body, &entries); err != nil {
 		return nil, &Error{
 			Op:   opHosts,
 			Kind: BadFormat,
 			Err:  err,
 		}
 	}
+	hosts := make([]Host, 0, len(entries))
+	for i, entry := range entries {
+		h, err := decodeHost(entry)
+		if err != nil {
+			c.cfg.OnOddHost(&Error{
+				Op:   opHosts,
+				Kind: BadFormat,
+				Err:  fmt.Errorf("entry %d: %w", i, err),
+			})
+			continue
+		}
+		hosts = append(hosts, h)
+	}
 	return hosts, nil
 }
 
+// decodeHost decodes one entry of the list of hosts.
+func decodeHost(entry []byte) (Host, error) {
+	var h Host
+	if err := json.Unmarshal(entry, &h); err != nil {
+		return h, err
+	}
+	addr, err := netip.ParseAddrPort(h.Addr)
+	if err != nil {
+		return h, err
+	}
+	if h.Name == "" || addr.Port() == 0 {
+		return h, errors.New("no name or no port")
+	}
+	return h, nil
+}
+
 // PollHosts reads the list of hosts about once per interval until ctx ends, and
 // passes each list to OnHosts. A failure goes to OnError and doubles the
 // interval; a success resets it.
--- a/internal/trans/source/source.go
+++ b/internal/trans/source/source.go
@@ -105,6 +105,9 @@
 	// Both are called on the goroutine of PollHosts.
 	OnHosts func(hosts []Host)
 	OnError func(err error)
+	// OnOddHost receives why an entry of the list of hosts was left out. It is called
+	// on the goroutine that reads the list.
+	OnOddHost func(err error)
 }
 
 // Client reads the platform's services. It is safe for concurrent use.
@@ -133,6 +136,9 @@
 	if cfg.OnError == nil {
 		cfg.OnError = func(error) {}
 	}
+	if cfg.OnOddHost == nil {
+		cfg.OnOddHost = func(error) {}
+	}
 	return &Client{
 		cfg: cfg,
 	}
--- a/internal/trans/source/source_test.go
+++ b/internal/trans/source/source_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -143,6 +144,48 @@
 	}
 }
 
+// Guards against one odd entry in the list of hosts that stops a daemon from following
+// the others.
+func TestOddHostIsLeftOut(t *testing.T) {
+	const sound = `{"name":"a","addr":"10.0.0.1:80"},%s,{"name":"b","addr":"10.0.0.2:80","leaving":true}`
+	want := []Host{
+		{
+			Name: "a",
+			Addr: "10.0.0.1:80",
+		},
+		{
+			Name:    "b",
+			Addr:    "10.0.0.2:80",
+			Leaving: true,
+		},
+	}
+	tests := map[string]string{
+		"another type":      `17`,
+		"null":              `null`,
+		"field of its type": `{"name":"c","addr":7}`,
+		"no name":           `{"addr":"10.0.0.3:80"}`,
+		"no port":           `{"name":"c","addr":"10.0.0.3"}`,
+		"port 0":            `{"name":"c","addr":"10.0.0.3:0"}`,
+		"port out of range": `{"name":"c","addr":"10.0.0.3:65536"}`,
+		"number too large":  `{"name":1e400,"addr":"10.0.0.3:80"}`,
+		"deeply nested":     `{"name":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+	}
+	for name, entry := range tests {
+		t.Run(name, func(t *testing.T) {
+			body := "[" + fmt.Sprintf(sound, entry) + "]"
+			s := newStubServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false)
+			leftOut := 0
+			hosts, err := New(Config{
+				RosterAddr: s.ln.Addr().String(),
+				OnOddHost:  func(error) { leftOut++ },
+			}).Hosts(t.Context())
+			if err != nil || !slices.Equal(hosts, want) || leftOut != 1 {
+				t.Errorf("got %v with %d left out, %v, want %v with 1", hosts, leftOut, err, want)
+			}
+		})
+	}
+}
+
 // TestPollSpacesFailures checks that the interval of PollHosts doubles after
 // failures, up to MaxBackoff.
 func TestPollSpacesFailures(t *testing.T) {
