Keep a missing record only if it can have lapsed

The failed read counted as an outage of the store, so the list after it kept the missing record for 2.1 s more, although the store had answered 1.9 s before. The class: one failed read taken for the state of another system.

Change: a list may lack records only if the store was silent for two intervals of the targets' reports or more. A record lapses after three intervals without a write, and the last write may have come one interval before the store's last answer. The interval comes from the settings (report).

TestFailedReadIsNoOutage was not expressible before; its cases of one and of five failed reads are red without the condition.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -20,7 +20,8 @@
 // whose record is missing from the first list after the outage may only have
 // lost the record because the store was unavailable. Config.Listed reports such
 // a list, so that its receiver can keep the target for a while and remove it
-// only if the record is still missing then.
+// only if the record is still missing then. A read that fails is no outage in this
+// sense: records cannot lapse until targets have failed to write them for a while.
 package watch
 
 import (
@@ -115,13 +116,16 @@
 	// Prefix selects the keys to follow.
 	Prefix string
 	Timing Timing
+	// LapseAfter is how long the store must have been silent before a record can have
+	// lapsed for that.
+	LapseAfter clock.Milli
 	// Readers returns the number of daemons that follow the store.
 	Readers func() int
 	// Jitter returns a random duration below the given one.
 	Jitter func(clock.Milli) clock.Milli
-	// Listed is called with each complete list. afterOutage reports that it is
-	// the first one after failed reads.
-	Listed func(now clock.Milli, items []Item, afterOutage bool)
+	// Listed is called with each complete list. mayLack reports that records may be
+	// missing from it only because the store was silent before.
+	Listed func(now clock.Milli, items []Item, mayLack bool)
 	// Changed is called with the changes that a watch returned, in their order.
 	Changed func(now clock.Milli, items []Item)
 	// Answered is called for each complete list and each watch that the store
@@ -137,12 +141,14 @@
 	Repeated     func(r Repeat)
 }
 
-// Follower follows one prefix. Run owns inOutage and backoff; the other methods
-// may be called concurrently with it.
+// Follower follows one prefix. Run owns the fields above mu; the other methods may
+// be called concurrently with it.
 type Follower struct {
 	cfg      Config
 	inOutage bool
 	backoff  clock.Milli
+	// answeredAt is when the store last answered a read, 0 if it never has.
+	answeredAt clock.Milli
 
 	mu sync.Mutex
 	// revision is that of the store as of the last read, seen the revision of the
@@ -215,8 +221,10 @@
 	}
 	f.recordRead(revision, items)
 	now := f.cfg.Clock.Now()
+	mayLack := f.inOutage && now-f.answeredAt >= f.cfg.LapseAfter
+	f.answeredAt = now
 	f.cfg.Answered(now)
-	f.cfg.Listed(now, items, f.inOutage)
+	f.cfg.Listed(now, items, mayLack)
 	f.recordSuccess()
 	return revision, nil
 }
@@ -243,6 +251,7 @@
 	}
 	f.recordRead(page.Revision, page.Items)
 	now := f.cfg.Clock.Now()
+	f.answeredAt = now
 	f.cfg.Answered(now)
 	if len(page.Items) > 0 {
 		f.cfg.Changed(now, page.Items)
--- a/internal/coord/watch/read_test.go
+++ b/internal/coord/watch/read_test.go
@@ -14,8 +14,9 @@
 const (
 	// bound is that of the timing in these tests, listed the revision of the list
 	// with which the follower begins.
-	bound  = 2500 * clock.Millisecond
-	listed = 7
+	bound      = 2500 * clock.Millisecond
+	listed     = 7
+	lapseAfter = 3 * clock.Second
 )
 
 // sent is an attempt that reached the store of a rig.
@@ -73,9 +74,10 @@
 			},
 		},
 		Timing:      TimingFor(bound),
+		LapseAfter:  lapseAfter,
 		Readers:     func() int { return 1 },
 		Jitter:      func(clock.Milli) clock.Milli { return 0 },
-		Listed:      func(_ clock.Milli, _ []Item, afterOutage bool) { g.listed <- afterOutage },
+		Listed:      func(_ clock.Milli, _ []Item, mayLack bool) { g.listed <- mayLack },
 		Changed:     func(_ clock.Milli, items []Item) { g.changed <- items },
 		Answered:    func(clock.Milli) {},
 		OutageBegan: func(error) { g.outages.Add(1) },
@@ -364,3 +366,51 @@
 		})
 	}
 }
+
+// Guards against a target that is kept after its record was removed because one read
+// failed, though the store was not silent for long enough to let records lapse (DRAIN).
+func TestFailedReadIsNoOutage(t *testing.T) {
+	tests := map[string]struct {
+		silence clock.Milli
+		fails   int
+		mayLack bool
+	}{
+		"no failed read, long after the last": {
+			silence: clock.Minute,
+		},
+		"one failed read": {
+			silence: lapseAfter - 1,
+			fails:   1,
+		},
+		"several failed reads": {
+			silence: lapseAfter - 1,
+			fails:   5,
+		},
+		"silent for as long as a record lives": {
+			silence: lapseAfter,
+			fails:   5,
+			mayLack: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, w := watching(t)
+			if mayLack := <-g.listed; mayLack {
+				t.Error("the first list may lack records")
+			}
+			g.now.Add(int64(tt.silence))
+			if tt.fails == 0 {
+				w.fail(HistoryLost)
+			} else {
+				w.fail(Unavailable)
+			}
+			for range tt.fails - 1 {
+				g.next(List).fail(Unavailable)
+			}
+			g.next(List).succeed(listed)
+			if got := <-g.listed; got != tt.mayLack {
+				t.Errorf("the list may lack records: %v, want %v", got, tt.mayLack)
+			}
+		})
+	}
+}
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -72,6 +72,9 @@
 	// malformedRetryAfter is the Retry-After of a request that there was no
 	// memory for.
 	malformedRetryAfter = 500 * clock.Millisecond
+	// reportsToLapse is the number of intervals without a write after which a record
+	// lapses.
+	reportsToLapse = 3
 	// hopHeadBytes is the room for the header fields that daemons add to a
 	// request.
 	hopHeadBytes = 1 << 10
@@ -316,13 +319,15 @@
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	return watch.New(watch.Config{
-		Clock:   d.clock,
-		Source:  newStoreClient(d.settings.Store, d.clock, d.contain).source(),
-		Timing:  watch.TimingFor(d.settings.changeBound()),
-		Readers: func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
-		Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
-		Listed: func(now clock.Milli, items []watch.Item, afterOutage bool) {
-			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, afterOutage) })
+		Clock:  d.clock,
+		Source: newStoreClient(d.settings.Store, d.clock, d.contain).source(),
+		Timing: watch.TimingFor(d.settings.changeBound()),
+		// The last write may have come one interval before the store's last answer.
+		LapseAfter: (reportsToLapse - 1) * clock.Milli(d.settings.Report),
+		Readers:    func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
+		Jitter:     func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
+		Listed: func(now clock.Milli, items []watch.Item, mayLack bool) {
+			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, mayLack) })
 		},
 		Changed: func(now clock.Milli, items []watch.Item) {
 			d.run("apply changes of the store", func() { d.viewTracker.applyChanges(now, items) })
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -38,6 +38,10 @@
 	// Change is the time in milliseconds within which a change of the configuration
 	// is in force after the store has acknowledged it; 0 means that of Drain.
 	Change int `json:"change"`
+	// Report is the interval in milliseconds at which targets write their records. A
+	// record lapses when three of them have passed without; 0 means that it may lapse
+	// at any time.
+	Report int `json:"report"`
 	// Drain is the time in milliseconds after which a leaving target gets no
 	// new work. Grace is the time in seconds between the request to stop and
 	// the kill.
@@ -154,6 +158,10 @@
 			name:  "change",
 			value: float64(s.Change),
 		},
+		{
+			name:  "report",
+			value: float64(s.Report),
+		},
 		{
 			name:  "ratio",
 			value: s.Ratio,
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -63,11 +63,10 @@
 }
 
 // applyList replaces the targets by those of a complete list of the store, and
-// adopts a newer configuration in it. With afterOutage, the store was unreachable
-// before the list; targets missing from it are then kept for a while, because
-// their records may have expired during the outage. A record that can't be
-// decoded is logged and left out.
-func (vt *viewTracker) applyList(now clock.Milli, items []watch.Item, afterOutage bool) {
+// adopts a newer configuration in it. With mayLack, the store was silent before the
+// list for so long that records may have lapsed; targets missing from it are then
+// kept for a while. A record that can't be decoded is logged and left out.
+func (vt *viewTracker) applyList(now clock.Milli, items []watch.Item, mayLack bool) {
 	targets := make([]model.Target, 0, len(items))
 	for _, item := range items {
 		if !isTarget(item) {
@@ -83,9 +82,9 @@
 	vt.update(func(v *model.View) {
 		v.IsLate = true
 		v.Config = vt.newestConfig(v.Config, items)
-		v.Fleet = v.Fleet.WithList(now, targets, afterOutage)
+		v.Fleet = v.Fleet.WithList(now, targets, mayLack)
 	})
-	event.Info(vt.log, event.TargetsListed, zap.Int("targets", len(targets)), zap.Bool("away", afterOutage))
+	event.Info(vt.log, event.TargetsListed, zap.Int("targets", len(targets)), zap.Bool("away", mayLack))
 }
 
 // applyChanges applies the changes that a watch returned, in their order.
