--- a/internal/trans/source/hosts.go
+++ b/internal/trans/source/hosts.go
@@ -54,12 +54,11 @@
 	if err := json.Unmarshal(entry, &h); err != nil {
 		return h, err
 	}
-	addr, err := netip.ParseAddrPort(h.Addr)
-	if err != nil {
+	if _, err := netip.ParseAddr(h.Addr); err != nil {
 		return h, err
 	}
-	if h.Name == "" || addr.Port() == 0 {
-		return h, errors.New("no name or no port")
+	if h.Name == "" {
+		return h, errors.New("field name is missing")
 	}
 	return h, nil
 }
--- a/internal/trans/source/source.go
+++ b/internal/trans/source/source.go
@@ -76,7 +76,8 @@
 
 // Host is an entry of the list of hosts.
 type Host struct {
-	Name    string `json:"name"`
+	Name string `json:"name"`
+	// Addr is the IP address of the host.
 	Addr    string `json:"addr"`
 	Leaving bool   `json:"leaving"`
 }
