Begin the instants of the system clock at a second

What callers could see: requests at a target that had left, for as long as its daemon runs, if the daemon was started after the leave.

Cause: instants counted from the making of the clock, so within the first millisecond of a daemon the instant is 0. The inbound side keeps the instant since which its target leaves, 0 for none: a leave that is learned at 0 is none, then and later, since the leave is recorded once. It needs the first list within a millisecond of the daemon's making, as on loopback. The class: a value of the domain that also stands for none. The age of the store's last answer had it too.

Change: instants of the system clock are greater than 0, by its contract, so 0 is none everywhere.

That this is what was seen once follows from the code, not from a run of that case.

--- a/internal/trans/flow/inbound_test.go
+++ b/internal/trans/flow/inbound_test.go
@@ -61,3 +61,23 @@
 		t.Errorf("the line has threshold %v, the answer %s", got, below)
 	}
 }
+
+// Guards against a daemon that learns of the leave of its target in the first
+// millisecond of its life, counts the leave as none and takes work for good (DRAIN).
+func TestLeaveKnownAtTheFirstInstantIsALeave(t *testing.T) {
+	const rounds = 50
+	for range rounds {
+		n := newTestInbound(zap.NewNop())
+		n.SetTarget(TargetUpdate{
+			Target: model.Target{
+				ID:      "t",
+				Leaving: true,
+			},
+			HasRecord: true,
+			IsLate:    true,
+		})
+		if _, takesWork := n.gateFor(n.cfg.Clock.Now(), peer.Hop{}); takesWork {
+			t.Fatalf("the target takes work at %d, it has left at %d", n.cfg.Clock.Now(), n.leavingSince)
+		}
+	}
+}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -20,9 +20,12 @@
 
 // Milli is an instant or a duration in milliseconds. The origin of instants differs
 // between processes, so an instant must never be sent to another process; a
-// duration may.
+// duration may. Instants are greater than 0, so a field that holds 0 holds none.
 type Milli int64
 
+// firstInstant is the least instant of a system clock.
+const firstInstant = Second
+
 // Duration converts the duration m to a time.Duration.
 func (m Milli) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
@@ -45,7 +48,7 @@
 
 // System returns the clock of the host.
 func System() Clock {
-	origin := time.Now()
+	origin := time.Now().Add(-firstInstant.Duration())
 	return Clock{
 		Now:   func() Milli { return Milli(time.Since(origin).Milliseconds()) },
 		Wall:  func() Milli { return Milli(time.Now().UnixMilli()) },
@@ -66,7 +69,8 @@
 	ch chan time.Time
 }
 
-// NewFake returns a fake clock whose current instant is start.
+// NewFake returns a fake clock whose current instant is start. With a start of 0, the
+// first instant can't be told from none.
 func NewFake(start Milli) *Fake { return &Fake{now: start} }
 
 // Clock returns a Clock that reads f. Its wall clock returns the same instants as
