Send a watch again that the store does not end in time

What callers could see: an old state for more than the 3 s that the platform allows after a silence of all connections to the store, if nobody hears of the change from another daemon before the own watch is given up.

Cause: a watch that hears nothing was given up 1 s after the store should have ended it, then counted as an outage, and only then was the store listed.

Change: a watch that is not ended 250 ms after its time is sent again once on another connection, to be answered soon; its margin is a part of the bound too.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -11,9 +11,9 @@
 // read hears nothing although the store could be read on another. Such a read is
 // sent again while it goes unanswered, and the first answer counts. A list is sent
 // again in any case. A watch is silent as long as nothing changes; it is sent again
-// when other daemons know a change that it did not bring ([Follower.Hear]). Each
-// watch takes a random time, so that of all daemons some ask the store anew every
-// second and can tell the others. An attempt is not given up when the next begins,
+// when other daemons know a change that it did not bring ([Follower.Hear]), or when
+// the store does not end it in time. Each watch takes a random time, so that of all
+// daemons some ask the store anew every second and can tell the others. An attempt is not given up when the next begins,
 // because the store may only be slow.
 //
 // During an outage of the store the last known state stays in use. A target
@@ -200,11 +200,11 @@
 	revision := int64(-1)
 	after := ""
 	for {
-		page, err := f.read(ctx, List, func(ctx context.Context, fresh bool) (Page, error) {
+		page, err := f.read(ctx, List, func(ctx context.Context, number int) (Page, error) {
 			return f.cfg.Source.List(ctx, ListRequest{
 				Prefix: f.cfg.Prefix,
 				After:  after,
-				Fresh:  fresh,
+				Fresh:  number > 0,
 			})
 		})
 		if err != nil {
@@ -231,12 +231,12 @@
 
 // watch does one watch and returns the revision from which to continue.
 func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
-	page, err := f.read(ctx, Watch, func(ctx context.Context, fresh bool) (Page, error) {
+	page, err := f.read(ctx, Watch, func(ctx context.Context, number int) (Page, error) {
 		return f.cfg.Source.Watch(ctx, ChangesRequest{
 			Prefix: f.cfg.Prefix,
 			After:  revision,
-			Wait:   f.watchWait(),
-			Fresh:  fresh,
+			Wait:   f.beginWatch(number),
+			Fresh:  number > 0,
 		})
 	})
 	if err != nil {
--- a/internal/coord/watch/follower_test.go
+++ b/internal/coord/watch/follower_test.go
@@ -162,3 +162,43 @@
 		})
 	}
 }
+
+// Guards against a fleet whose watches all went silent at one moment and that learns
+// of a change seconds later (CONFIG, DRAIN): the first daemon asks anew when its watch
+// should have ended, and the others once they hear of the change. The platform counts
+// such a silence as a disturbance of all hosts for stableWindow.
+func TestDeafFleetLearnsOfAChange(t *testing.T) {
+	const (
+		rounds       = 200
+		stableWindow = 3 * clock.Second
+		tick         = 50 * clock.Millisecond
+		// heard is the time until a message of the first daemon has reached the others.
+		heard = 200 * clock.Millisecond
+		// mostLate is the number of rounds that chance may make late.
+		mostLate = rounds / 20
+	)
+	timing := TimingFor(bound)
+	for _, readers := range []int{4, 16, 71, 98, 780} {
+		t.Run(strconv.Itoa(readers), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(2, uint64(readers)))
+			f := New(Config{
+				Readers: func() int { return readers },
+				Jitter:  func(n clock.Milli) clock.Milli { return clock.Milli(r.Int64N(int64(n))) },
+			})
+			late := 0
+			for range rounds {
+				first := maxWatchWait * 2
+				for range readers {
+					first = min(first, f.watchWait())
+				}
+				if first+timing.Late+tick+heard+timing.MinRepeat+tick > stableWindow {
+					late++
+				}
+			}
+			t.Logf("late in %d of %d rounds", late, rounds)
+			if late > mostLate {
+				t.Errorf("late in %d of %d rounds, want %d or fewer", late, rounds, mostLate)
+			}
+		})
+	}
+}
--- a/internal/coord/watch/read.go
+++ b/internal/coord/watch/read.go
@@ -60,6 +60,8 @@
 	sentAt   clock.Milli
 	// patience is how long the last attempt may go unanswered.
 	patience clock.Milli
+	// endsAt is when the store ends the last attempt at a watch that brings nothing.
+	endsAt clock.Milli
 	// repeat gets a value when the next attempt is due.
 	repeat chan struct{}
 }
@@ -74,7 +76,7 @@
 // Attempts that overlap use connections of their own; those that are no longer
 // needed are canceled. The error is that of the last attempt in progress, or of the
 // first that tells that history was lost.
-func (f *Follower) read(ctx context.Context, op Op, send func(ctx context.Context, fresh bool) (Page, error)) (Page, error) {
+func (f *Follower) read(ctx context.Context, op Op, send func(ctx context.Context, number int) (Page, error)) (Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := f.beginRead(op)
@@ -112,9 +114,9 @@
 }
 
 // attempt makes one attempt and reports it.
-func (f *Follower) attempt(ctx context.Context, op Op, number int, send func(ctx context.Context, fresh bool) (Page, error)) answer {
+func (f *Follower) attempt(ctx context.Context, op Op, number int, send func(ctx context.Context, number int) (Page, error)) answer {
 	began := f.cfg.Clock.Now()
-	page, err := send(ctx, number > 0)
+	page, err := send(ctx, number)
 	outcome := Answered
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -150,6 +152,7 @@
 			Heard:  f.heard,
 		}
 		r.sentAt = f.cfg.Clock.Now()
+		r.endsAt = r.sentAt + maxWatchWait
 		r.patience = min(f.cfg.Timing.MaxRepeat, r.patience*2)
 	}
 	f.mu.Unlock()
@@ -165,12 +168,14 @@
 }
 
 // isOverdue reports whether the next attempt at r is due. A watch without an answer
-// is overdue only while others know a newer change. A list is overdue in any case,
-// and earlier if others read the store after it was sent. f.mu must be held.
+// is overdue while others know a newer change, and once when the store should have
+// ended it. A list is overdue in any case, and earlier if others read the store after
+// it was sent. f.mu must be held.
 func (f *Follower) isOverdue(r *read) bool {
 	now := f.cfg.Clock.Now()
 	if r.op == Watch {
-		return f.isBehind() && now-max(r.sentAt, f.heardAt) >= r.patience
+		isLate := r.attempts == 1 && now >= r.endsAt+f.cfg.Timing.Late
+		return isLate || f.isBehind() && now-max(r.sentAt, f.heardAt) >= r.patience
 	}
 	patience := r.patience
 	if f.isBehind() && f.heardAt > r.sentAt {
@@ -206,9 +211,26 @@
 	defer f.mu.Unlock()
 	r.attempts++
 	r.sentAt = f.cfg.Clock.Now()
+	r.endsAt = r.sentAt + maxWatchWait
 	return r.attempts - 1
 }
 
+// beginWatch returns how long the store may hold an attempt at a watch that is about to
+// be sent. A repeat is to be answered soon, with what the first attempt missed or with
+// nothing.
+func (f *Follower) beginWatch(number int) clock.Milli {
+	wait := f.cfg.Timing.MinRepeat
+	if number == 0 {
+		wait = f.watchWait()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reading != nil {
+		f.reading.endsAt = f.cfg.Clock.Now() + wait
+	}
+	return wait
+}
+
 // endRead ends the read in progress.
 func (f *Follower) endRead() {
 	f.mu.Lock()
--- a/internal/coord/watch/timing.go
+++ b/internal/coord/watch/timing.go
@@ -25,6 +25,8 @@
 	// because the store may only be slow.
 	MinRepeat clock.Milli
 	MaxRepeat clock.Milli
+	// Late is how long after its time a watch may end before it is sent again.
+	Late clock.Milli
 }
 
 // TimingFor returns the times with which a change is in force within bound after
@@ -36,6 +38,7 @@
 		MaxBackoff: bound * 4 / 25,
 		MinRepeat:  bound / 5,
 		MaxRepeat:  bound * 2 / 5,
+		Late:       bound / 10,
 	}
 }
 
--- a/internal/proxy/bounds_test.go
+++ b/internal/proxy/bounds_test.go
@@ -42,6 +42,9 @@
 			"the same, and the next one is refused once": {
 				stages: []clock.Milli{timing.MaxRepeat, tickEvery, timing.MaxBackoff},
 			},
+			"the repeat of a late watch was lost before the store returned": {
+				stages: []clock.Milli{timing.MinRepeat, timing.MaxRepeat, timing.MinBackoff},
+			},
 			"the answer to a watch was lost": {
 				stages: []clock.Milli{timing.Batch, timing.MinRepeat, tickEvery},
 			},
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -318,10 +318,11 @@
 // single watch over all keys, which is one request where a watch for each kind
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
+	timing := watch.TimingFor(d.settings.changeBound())
 	return watch.New(watch.Config{
 		Clock:  d.clock,
-		Source: newStoreClient(d.settings.Store, d.clock, d.contain).source(),
-		Timing: watch.TimingFor(d.settings.changeBound()),
+		Source: newStoreClient(d.settings.Store, timing, d.clock, d.contain).source(),
+		Timing: timing,
 		// The last write may have come one interval before the store's last answer.
 		LapseAfter: (reportsToLapse - 1) * clock.Milli(d.settings.Report),
 		Readers:    func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
--- a/internal/proxy/store.go
+++ b/internal/proxy/store.go
@@ -19,9 +19,6 @@
 	// one page of a list.
 	storeDialTimeout = 500 * clock.Millisecond
 	storeListTimeout = 4 * clock.Second
-	// watchMargin is how much longer than requested a watch may take before the
-	// store counts as unreachable.
-	watchMargin = clock.Second
 	// storeIdleTimeout is how long an idle connection to the store is kept.
 	storeIdleTimeout = 20 * clock.Second
 	// maxStoreBodyBytes limits the body of one answer of the store.
@@ -30,8 +27,11 @@
 
 // storeClient reads the platform's store for the follower.
 type storeClient struct {
-	addr   string
-	client *http1.Client
+	addr string
+	// watchMargin is how much longer than requested a watch may take before the
+	// store counts as unreachable.
+	watchMargin clock.Milli
+	client      *http1.Client
 }
 
 // storeRead is one attempt at a read.
@@ -44,9 +44,10 @@
 	fresh bool
 }
 
-func newStoreClient(addr string, c clock.Clock, onPanic func(*rescue.Error)) *storeClient {
+func newStoreClient(addr string, timing watch.Timing, c clock.Clock, onPanic func(*rescue.Error)) *storeClient {
 	return &storeClient{
-		addr: addr,
+		addr:        addr,
+		watchMargin: timing.MaxRepeat,
 		client: http1.NewClient(http1.ClientConfig{
 			Clock:       c,
 			DialTimeout: storeDialTimeout,
@@ -83,7 +84,7 @@
 	a, err := s.get(ctx, storeRead{
 		op:    op,
 		uri:   platform.WatchURI(r.Prefix, r.After, r.Wait),
-		limit: r.Wait + watchMargin,
+		limit: r.Wait + s.watchMargin,
 		fresh: r.Fresh,
 	})
 	if err != nil {
