--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -13,8 +13,8 @@
 // again in any case. A watch is silent as long as nothing changes; it is sent again
 // when other daemons know a change that it did not bring ([Follower.Hear]), or when
 // the store does not end it in time. Each watch takes a random time, so that of all
-// daemons some ask the store anew every second and can tell the others. An attempt is not given up when the next begins,
-// because the store may only be slow.
+// daemons some ask the store anew every second and can tell the others. An attempt
+// is not given up when the next one begins, because the store may only be slow.
 //
 // During an outage of the store the last known state stays in use. A target
 // whose record is missing from the first list after the outage may only have
