Take half a second as the least bound of reads

Settings with a drain or change of a few milliseconds passed the check and made times of 0: a failing store would have been read in a busy loop. Found by reading the change again. TestTimingMakesNoBusyLoop is red for bounds below 250 ms without the floor.

--- a/internal/coord/watch/timing.go
+++ b/internal/coord/watch/timing.go
@@ -9,6 +9,9 @@
 	minWatchWait       = 500 * clock.Millisecond
 	maxWatchWait       = 30 * clock.Second
 	watchWaitPerReader = 500 * clock.Millisecond
+	// minBound is the least bound that the times of reads are parts of. Below it they
+	// would make a busy loop of reads.
+	minBound = 500 * clock.Millisecond
 )
 
 // Timing is the times of the reads of the store.
@@ -30,8 +33,10 @@
 }
 
 // TimingFor returns the times with which a change is in force within bound after
-// the store has acknowledged it, or can be read again.
+// the store has acknowledged it, or can be read again. A bound of less than half a
+// second is taken for that.
 func TimingFor(bound clock.Milli) Timing {
+	bound = max(bound, minBound)
 	return Timing{
 		Batch:      bound / 5,
 		MinBackoff: bound / 25,
