--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,7 @@
 	"moved-store":      movedStore,
 	"fraction-setting": fractionSetting,
 	"foreign-entry":    foreignEntry,
+	"stops-in-turn":    stopsInTurn,
 }
 
 // Names and bounds as in the pages' examples and the site armor-rail.
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -70,7 +70,12 @@
 // ask sends one request and reads its answer. pause, if not nil, is called when the
 // head of the answer has been read.
 func (k *client) ask(method, host, path string, limit time.Duration, body int, pause func()) result {
-	r := result{id: newID()}
+	return k.askAs(newID(), method, host, path, limit, body, pause)
+}
+
+// askAs is ask with a given id.
+func (k *client) askAs(id, method, host, path string, limit time.Duration, body int, pause func()) result {
+	r := result{id: id}
 	began := time.Now()
 	defer func() { r.took = time.Since(began) }()
 	_ = k.c.SetDeadline(began.Add(limit))
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -26,13 +26,17 @@
 	// work is how long a request takes, answer the bytes of its answer.
 	work   func(path string) time.Duration
 	answer int
+	// call, if not nil, makes the call that a request of the path needs, if any, and
+	// reports whether it succeeded.
+	call func(path, id string) bool
 
 	mu      sync.Mutex
 	running int
 	runs    []run
-	cut     int
-	l       net.Listener
-	conns   map[net.Conn]bool
+	// cutAt tells when the connection of a request that was being run was closed.
+	cutAt map[string]time.Time
+	l     net.Listener
+	conns map[net.Conn]bool
 }
 
 func startInstance(n *instance) error {
@@ -42,6 +46,7 @@
 	}
 	n.l = l
 	n.conns = make(map[net.Conn]bool)
+	n.cutAt = make(map[string]time.Time)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -121,9 +126,12 @@
 		n.running--
 		n.mu.Unlock()
 	}()
+	if n.call != nil && !n.call(r.URL.Path, id) {
+		return n.write(c, 500, "Response-Signature: "+signature(n.id, id, 0), id, 0)
+	}
 	if !awaitWork(c, br, n.work(r.URL.Path)) {
 		n.mu.Lock()
-		n.cut++
+		n.cutAt[id] = time.Now()
 		n.mu.Unlock()
 		return false
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,8 @@
 	cmd       *exec.Cmd
 	log       *os.File
 	exited    chan struct{}
+	// misses counts the readiness checks in a row that were missed.
+	misses atomic.Int32
 }
 
 // world is a small deployment on loopback addresses.
