--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -16,6 +16,7 @@
 	"fraction-setting": fractionSetting,
 	"foreign-entry":    foreignEntry,
 	"stops-in-turn":    stopsInTurn,
+	"quiet-minute":     quietMinute,
 }
 
 // Names and bounds as in the pages' examples and the site armor-rail.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -41,7 +41,11 @@
 	mux    *http.ServeMux
 }
 
-const pageItems = 500
+// A page has at most so many items, and bytes of values.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func newStore(addr string) (*store, error) {
 	l, err := net.Listen("tcp4", addr)
@@ -144,10 +148,13 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	more := len(found) > pageItems
-	if more {
-		found = found[:pageItems]
+	n, bytes := 0, 0
+	for n < len(found) && n < pageItems && (n == 0 || bytes+len(found[n].Value) <= pageBytes) {
+		bytes += len(found[n].Value)
+		n++
 	}
+	more := n < len(found)
+	found = found[:n]
 	if s.loses(w) {
 		return
 	}
