Log connections that break under an answer

Besides, a session took the system's ETIMEDOUT for its own read deadline and read on.

Change: event 504 with the address and the error; only the deadline itself counts as an idle time.

--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -58,6 +58,7 @@
 	Attempt          = Event{Number: 501, Text: "attempt at the target ended"}
 	LinesOmitted     = Event{Number: 502, Text: "log lines left out"}
 	Malformed        = Event{Number: 503, Text: "input was refused unread"}
+	ConnBroken       = Event{Number: 504, Text: "connection broke under an answer"}
 )
 
 // Results of requests, as they appear in lines of [Answered] and in metrics.
@@ -120,6 +121,7 @@
 		Attempt,
 		LinesOmitted,
 		Malformed,
+		ConnBroken,
 	}
 }
 
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -166,6 +166,7 @@
 		Requests:    d.requests,
 		Answers:     d.answers,
 		OnPanic:     d.contain,
+		OnBroken:    d.connBroken,
 	})
 	d.peers = http1.NewServer(http1.ServerConfig{
 		Clock: c,
@@ -183,6 +184,7 @@
 		Requests:    d.requests,
 		Answers:     d.answers,
 		OnPanic:     d.contain,
+		OnBroken:    d.connBroken,
 	})
 	return d, nil
 }
@@ -203,6 +205,11 @@
 	event.Contained(d.log, err)
 }
 
+// connBroken logs a connection that broke under an answer.
+func (d *Daemon) connBroken(from string, err error) {
+	event.Warn(d.log, event.ConnBroken, zap.String("from", from), zap.Error(err))
+}
+
 // malformed returns the answer to a message that can't be parsed as a request or
 // exceeds a bound. r has the header of the request, or is nil.
 func (d *Daemon) malformed(r *http1.Request, status int, err error) guard.Answer {
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -51,6 +51,10 @@
 	Answers  *hold.Pool
 	// OnPanic is called with a panic that ended a connection; nil ignores them.
 	OnPanic func(*rescue.Error)
+	// OnBroken is called when a connection from the given address breaks while an
+	// answer may still be unread, for another reason than its client closing it; nil
+	// ignores that.
+	OnBroken func(from string, err error)
 }
 
 // Server serves connections. It is safe for concurrent use.
@@ -90,6 +94,9 @@
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(*rescue.Error) {}
 	}
+	if cfg.OnBroken == nil {
+		cfg.OnBroken = func(string, error) {}
+	}
 	return &Server{
 		cfg:   cfg,
 		conns: make(map[*session]struct{}),
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -240,8 +242,7 @@
 		idle := c.server.cfg.Limits().IdleTimeout
 		c.setReadDeadline(idle)
 		_, err := c.br.Peek(1)
-		var timeout net.Error
-		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
 		if c.closing.Load() || c.isToClose() {
@@ -299,6 +300,7 @@
 	}
 	status := statusOf(err)
 	if status == 0 {
+		c.reportBroken(err)
 		c.cancel()
 		return
 	}
@@ -315,6 +317,14 @@
 	c.replies <- p
 }
 
+// reportBroken reports that the system or a time limit ended the connection. A client
+// that closes it, which its end or a reset shows, is an ordinary event.
+func (c *session) reportBroken(err error) {
+	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) {
+		c.server.cfg.OnBroken(c.raw.RemoteAddr().String(), err)
+	}
+}
+
 // statusOf returns the HTTP status for input that is not a valid request, or 0
 // if the connection has ended.
 func statusOf(err error) int {
@@ -365,6 +375,7 @@
 		c.closing.Store(true)
 	}
 	if err := c.writeAnswer(&reply.Answer, p.noBody, closes); err != nil {
+		c.reportBroken(err)
 		c.closing.Store(true)
 		c.reset()
 		return false
