Give up a connection for its peer's silence, not for a shut window

Cause: TCP_USER_TIMEOUT (2.5 s on all sockets) also bounds a shut window, however faithfully the peer acknowledges the probes.

Exchanges and writes of answers observe what the system knows of the connection while they last: a peer that owes acknowledgements and shows no sign of life for 2 s is silent, one whose window is shut and that answers probes is not. The 20 s for an answer count from the last byte that the client took. Keep-alive probes end silent idle connections, as before.

--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -85,7 +85,11 @@
 	}
 	n.record(echo)
 	stop := context.AfterFunc(ctx, n.abort)
+	watched := observe(n.raw, c.cfg.Clock.Now, n.abort)
 	a, reusable, err := c.exchange(ctx, n, r)
+	if watched.stop() && err != nil {
+		err = errSilent
+	}
 	if !stop() || !n.recordAnswer(echo, a.Status) {
 		reusable = false
 	}
--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -89,6 +89,7 @@
 var (
 	errMismatched = errors.New("received only answers to other requests")
 	errInterim    = errors.New("received only interim answers")
+	errSilent     = errors.New("the other end is silent")
 )
 
 // reading tells how to read an answer.
@@ -248,7 +249,7 @@
 	var head *fasthttp.ErrSmallBuffer
 	var panicked *rescue.Error
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, errSilent):
 		return Timeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.As(err, &head):
 		return TooLarge
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -80,7 +80,8 @@
 	// idleCheckTime is how long a connection that is to close when idle waits
 	// for a request that is on the way.
 	idleCheckTime = clock.Millisecond
-	// writeTimeout is the time that a client has to read one answer.
+	// writeTimeout is how long a client may take nothing of an answer, once the
+	// buffers between are full.
 	writeTimeout = 20 * clock.Second
 	// headerSlackBytes is added to the longest header for the size of a read
 	// buffer.
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -320,7 +320,7 @@
 // reportBroken reports that the system or a time limit ended the connection. A client
 // that closes it, which its end or a reset shows, is an ordinary event.
 func (c *session) reportBroken(err error) {
-	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errSilent) {
 		c.server.cfg.OnBroken(c.raw.RemoteAddr().String(), err)
 	}
 }
@@ -389,20 +389,38 @@
 
 // writeAnswer writes an answer, without its body if noBody is set.
 func (c *session) writeAnswer(a *guard.Answer, noBody, closes bool) error {
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
 	body := a.Body
 	if noBody || !hasBody(a.Status) {
 		body = nil
 	}
+	watched := observe(c.raw, c.server.cfg.Clock.Now, func() { _ = c.raw.Close() })
+	err := c.writeBuffers(buffersOf(a, body, closes))
+	if watched.stop() {
+		return errSilent
+	}
+	return err
+}
+
+// buffersOf returns an answer as it is written, in one piece unless its body is long.
+func buffersOf(a *guard.Answer, body []byte, closes bool) net.Buffers {
 	if len(body) >= asyncWriteBytes {
-		// A long body is not copied to be written together with the header.
-		bufs := net.Buffers{appendAnswer(make([]byte, 0, headBytes), a, closes), body}
-		_, err := bufs.WriteTo(c.raw)
+		return net.Buffers{appendAnswer(make([]byte, 0, headBytes), a, closes), body}
+	}
+	head := appendAnswer(make([]byte, 0, headBytes+len(body)), a, closes)
+	return net.Buffers{append(head, body...)}
+}
+
+// writeBuffers writes all buffers. It fails if the client takes nothing of them for
+// writeTimeout.
+func (c *session) writeBuffers(bufs net.Buffers) error {
+	for {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+		n, err := bufs.WriteTo(c.raw)
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		return err
 	}
-	buf := appendAnswer(make([]byte, 0, headBytes+len(body)), a, closes)
-	_, err := c.raw.Write(append(buf, body...))
-	return err
 }
 
 // reset resets the connection and cancels its handlers.
