Take no work that may last beyond the end of a planned stop

Cause: a stopping daemon refused its own callers' requests with a deadline beyond its end, but took those of other daemons. Work outliving its deadline is ruled out by the times of the cuts.

Change: the inbound side refuses, not run, what has a deadline beyond the end, also what waited for a slot when the stop began. Its answers tell how long it has, so other daemons pass it by for such work alone. Only requests that are no calls of running work count as callers that have not left.

--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -91,6 +91,8 @@
 	ReasonMisdirected = "other"
 	// ReasonLeaving means that the target takes no new work.
 	ReasonLeaving = "leaving"
+	// ReasonEnding means that the daemon ends before the deadline of the request.
+	ReasonEnding = "ending"
 	// ReasonDownstream means that a service further downstream would refuse the
 	// request.
 	ReasonDownstream = "deeper"
@@ -144,6 +146,9 @@
 	// Wait is the time after which a refused request may be retried.
 	Wait  clock.Milli
 	Stamp ticket.Stamp
+	// Ends is the time until the daemon ends, 0 if it does not stop. It travels in
+	// [HeaderEnds].
+	Ends clock.Milli
 	// Received says that the feedback came from the daemon beside the target.
 	// It is false for feedback that the sender infers, for example from a
 	// failed exchange, and it is not sent.
@@ -209,7 +214,7 @@
 	}, nil
 }
 
-// String returns f as the value of [HeaderFeedback]. Received is left out.
+// String returns f as the value of [HeaderFeedback]. Ends and Received are left out.
 func (f Feedback) String() string {
 	return strings.Join([]string{
 		strconv.Itoa(int(f.Outcome)),
--- a/internal/proto/peer/peer_test.go
+++ b/internal/proto/peer/peer_test.go
@@ -60,6 +60,32 @@
 	})
 }
 
+func TestParseEnds(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want clock.Milli
+		ok   bool
+	}{
+		"a time": {
+			text: FormatEnds(1200),
+			want: 1200,
+			ok:   true,
+		},
+		"none":     {},
+		"zero":     {text: "0"},
+		"negative": {text: "-5"},
+		"no time":  {text: "soon"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := ParseEnds(tt.text)
+			if got != tt.want || (err == nil) != tt.ok {
+				t.Errorf("got %d and %v, want %d", got, err, tt.want)
+			}
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(Hop{}.String())
 	f.Add(Feedback{}.String())
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -50,7 +50,8 @@
 //     before until the callers have left, because callers need some seconds to
 //     learn that they must go elsewhere, and the target lives on.
 //   - Then other daemons are refused, which tells them to use other targets, and
-//     the requests in progress end.
+//     the requests in progress end. A request whose deadline lies beyond the end of
+//     the process is refused from the start.
 //   - The listeners close, what was accepted is answered, and the connections
 //     close as they become idle.
 //
@@ -64,6 +65,7 @@
 	d.stopping.Store(true)
 	d.callers.Stop()
 	d.outbound.StopAt(exitAt - lastAnswerMargin)
+	d.inbound.StopAt(exitAt - lastAnswerMargin)
 	event.Info(d.log, event.Stopping)
 	d.awaitCallers(began, min(began+grace*acceptPercent/100, lastAccept))
 	d.inbound.Drain()
@@ -92,14 +94,13 @@
 	wg.Wait()
 }
 
-// awaitCallers waits until the callers have left: no request of theirs is in
-// progress, and none came for leftAfter. It waits at least for noticeTime from
-// began on, and at most until latest.
+// awaitCallers waits until the callers have left: no request of theirs was in
+// progress or came for leftAfter. It waits at least for noticeTime from began on, and
+// at most until latest.
 func (d *Daemon) awaitCallers(began, latest clock.Milli) {
 	for {
 		now := d.clock.Now()
-		quietSince := max(began, d.callers.LastArrival())
-		isQuiet := now >= quietSince+leftAfter && d.callers.IsIdle()
+		isQuiet := now >= max(began, d.outbound.QuietSince(now))+leftAfter
 		if now >= latest || now >= began+noticeTime && isQuiet {
 			return
 		}
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -26,6 +26,9 @@
 		return n.refuse(r, hop, peer.ReasonDownstream)
 	}
 	deadline := now + timeLeft(r, n.cfg.Headers.Deadline)
+	if n.endsBefore(deadline) {
+		return n.refuse(r, hop, peer.ReasonEnding)
+	}
 	req, d, signals := gate.Offer(admit.Request{
 		Path:       hop.Path,
 		Importance: hop.Importance,
@@ -53,6 +56,10 @@
 	if !n.mayStart(start) {
 		return n.refuse(r, hop, peer.ReasonLeaving)
 	}
+	if n.endsBefore(deadline) {
+		// The stop began while the request waited.
+		return n.refuse(r, hop, peer.ReasonEnding)
+	}
 	if hop.Key != "" && !n.table.Start(hop.Key) {
 		return n.refuse(r, hop, "fenced")
 	}
@@ -112,6 +119,13 @@
 	return n.gate, !n.draining && !n.hasLeft(now)
 }
 
+// endsBefore reports whether the daemon stops before the deadline of a request.
+func (n *Inbound) endsBefore(deadline clock.Milli) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.end != 0 && deadline > n.end
+}
+
 // mayStart reports whether a request that has waited may still be sent to the
 // target.
 func (n *Inbound) mayStart(now clock.Milli) bool {
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -163,27 +163,28 @@
 	return true
 }
 
-// choose picks a target. It excludes targets on which the request ran and those
-// whose daemon refused it. The target that rejected it last is chosen only if
+// choose picks a target. It excludes targets on which the request ran, those whose
+// daemon refused it and those whose daemon ends before the deadline. The target that rejected it last is chosen only if
 // there is no other.
 func (o *Outbound) choose(s *service, c *call) (model.Target, pick.Call, error) {
 	now := o.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now, o.cfg.View(), c.service, o.cfg.Self.Centres)
+	excluded := slices.Concat(c.excluded, s.endingBefore(now, c.deadline))
 	q := pick.Query{
 		Op:         c.route.Name,
 		Importance: c.importance,
 		RootHash:   c.root,
-		Exclude:    c.excluded,
+		Exclude:    excluded,
 		Bytes:      typicalCallBytes,
 	}
 	if c.rejectedBy != "" {
-		q.Exclude = append(slices.Clone(c.excluded), c.rejectedBy)
+		q.Exclude = append(slices.Clone(excluded), c.rejectedBy)
 	}
 	choice, err := s.picker.Choose(now, q)
 	if err != nil && c.rejectedBy != "" {
-		q.Exclude = c.excluded
+		q.Exclude = excluded
 		choice, err = s.picker.Choose(now, q)
 	}
 	if err != nil {
@@ -281,6 +282,7 @@
 		}
 	}
 	a.Fields = http1.WithoutField(a.Fields, peer.HeaderFeedback)
+	fb.Ends, a.Fields = o.cfg.takeEnds(a.Fields)
 	return a, fb
 }
 
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -79,6 +79,8 @@
 	// acceptUntil is the instant from which a leaving target takes no work.
 	acceptUntil clock.Milli
 	draining    bool
+	// end is the instant at which the daemon stops, 0 if none is set.
+	end clock.Milli
 }
 
 // NewInbound returns an inbound side that accepts requests.
@@ -129,6 +131,9 @@
 
 func (n *Inbound) reply(a guard.Answer, fb peer.Feedback) http1.Reply {
 	a.Fields = n.cfg.withSeen(http1.WithField(a.Fields, peer.HeaderFeedback, fb.String()))
+	if fb.Ends > 0 {
+		a.Fields = http1.WithField(a.Fields, peer.HeaderEnds, peer.FormatEnds(fb.Ends))
+	}
 	return http1.Reply{
 		Answer: a,
 	}
@@ -247,6 +252,7 @@
 func (n *Inbound) feedback(outcome peer.Outcome, reason string) peer.Feedback {
 	n.mu.Lock()
 	leaving := n.draining || n.leavingSince > 0
+	ends := n.timeToEnd(n.cfg.Clock.Now())
 	n.mu.Unlock()
 	st := n.Stats()
 	running := 0
@@ -261,6 +267,7 @@
 		Leaving:   leaving,
 		Threshold: st.Threshold,
 		Stamp:     n.table.Stamp(n.cfg.Clock.Now()),
+		Ends:      ends,
 	}
 	if outcome == peer.NotRun {
 		fb.Wait = max(minRetryAfter, st.ExpectedTime)
@@ -328,6 +335,23 @@
 	}
 }
 
+// StopAt announces the instant at which the daemon stops. Requests with a later
+// deadline are refused from now on, since they could be broken off.
+func (n *Inbound) StopAt(end clock.Milli) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.end = end
+}
+
+// timeToEnd returns the time until the daemon stops, 0 if no stop was announced.
+// n.mu must be held.
+func (n *Inbound) timeToEnd(now clock.Milli) clock.Milli {
+	if n.end == 0 {
+		return 0
+	}
+	return max(n.end-now, 1)
+}
+
 // Drain makes the inbound side refuse new requests. Running and queued ones go
 // on.
 func (n *Inbound) Drain() {
--- a/internal/trans/flow/inbound_test.go
+++ b/internal/trans/flow/inbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/pick"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -81,3 +83,88 @@
 		}
 	}
 }
+
+// Guards against a stopping daemon that takes work which may last beyond its end
+// (LOST). The target is not reached, so what is admitted is refused as that.
+func TestWorkBeyondTheEndIsRefused(t *testing.T) {
+	const toEnd = 3 * clock.Second
+	tests := map[string]struct {
+		deadline string
+		key      string
+		stops    bool
+		want     string
+	}{
+		"no stop": {
+			deadline: "60000",
+			want:     peer.ReasonUnreached,
+		},
+		"ends in time": {
+			deadline: "2900",
+			stops:    true,
+			want:     peer.ReasonUnreached,
+		},
+		"ends too late": {
+			deadline: "3100",
+			stops:    true,
+			want:     peer.ReasonEnding,
+		},
+		"ends too late, at most once": {
+			deadline: "3100",
+			key:      "k/1",
+			stops:    true,
+			want:     peer.ReasonEnding,
+		},
+		"no deadline": {
+			stops: true,
+			want:  peer.ReasonEnding,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newTestInbound(zap.NewNop())
+			n.cfg.Headers.Deadline = "Deadline-Ms"
+			now := n.cfg.Clock.Now()
+			n.cfg.Clock.Now = func() clock.Milli { return now }
+			if tt.stops {
+				n.StopAt(now + toEnd)
+			}
+			r := &http1.Request{}
+			r.Fields = http1.WithField(nil, "Deadline-Ms", tt.deadline)
+			_, fb := n.Run(context.Background(), r, peer.Hop{
+				Path:  "p",
+				Key:   tt.key,
+				Stamp: n.table.Stamp(now),
+			})
+			if fb.Outcome != peer.NotRun || fb.Reason != tt.want || (fb.Ends > 0) != tt.stops {
+				t.Errorf("got %s, %s, ends in %d, want not run, %s", fb.Outcome, fb.Reason, fb.Ends, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against daemons that keep offering a stopping one work that it must refuse,
+// and against one that is passed by after it has started again.
+func TestEndingDaemonIsPassedBy(t *testing.T) {
+	s := newService(&Config{
+		RetryWindow: clock.Second,
+	}, "s", pick.NewBucket(1, 1), 0, 1)
+	s.applyFeedback(0, "t", "p", peer.Feedback{
+		Ends: 3 * clock.Second,
+	})
+	if got := s.endingBefore(10, 2*clock.Second); len(got) > 0 {
+		t.Errorf("work that ends in time passes by %v", got)
+	}
+	if got := s.endingBefore(10, 4*clock.Second); !slices.Equal(got, []string{"t"}) {
+		t.Errorf("work that lasts too long passes by %v, want t", got)
+	}
+	if got := s.endingBefore(ejectionTime, 5*clock.Second); len(got) > 0 {
+		t.Errorf("%v is passed by for good", got)
+	}
+	s.applyFeedback(0, "t", "p", peer.Feedback{
+		Ends: 3 * clock.Second,
+	})
+	s.applyFeedback(20, "t", "p", peer.Feedback{})
+	if got := s.endingBefore(20, 4*clock.Second); len(got) > 0 {
+		t.Errorf("%v is passed by though it does not stop", got)
+	}
+}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -47,6 +47,8 @@
 	graph      *callGraph
 	// stopTime is the instant at which the daemon stops, 0 if none is set.
 	stopTime atomic.Int64
+	// callers tells when callers other than the host's target were last active.
+	callers activity
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -97,6 +99,11 @@
 // deadline are refused from now on.
 func (o *Outbound) StopAt(end clock.Milli) { o.stopTime.Store(int64(end)) }
 
+// QuietSince returns the instant since which no request of a caller has arrived or
+// was in progress, now if one is. Calls that the host's own target makes for requests
+// in progress do not count: they end with those requests.
+func (o *Outbound) QuietSince(now clock.Milli) clock.Milli { return o.callers.quietSince(now) }
+
 // Tick closes connections that have been idle for too long.
 func (o *Outbound) Tick() { o.peers.Sweep() }
 
@@ -115,6 +122,10 @@
 // Handle answers one request of a caller.
 func (o *Outbound) Handle(ctx context.Context, r *http1.Request) http1.Reply {
 	id := r.Get(o.cfg.Headers.ID)
+	if o.local.Parent(id) == nil {
+		o.callers.begin(r.Arrived)
+		defer o.callers.end()
+	}
 	v := o.cfg.View()
 	if v.Config == nil || !v.Fleet.Loaded {
 		const reason = "no configuration yet"
--- a/internal/trans/flow/seen.go
+++ b/internal/trans/flow/seen.go
@@ -7,6 +7,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/trans/http1"
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // withSeen returns fields with the revision that this daemon knows, in place of
@@ -18,6 +19,20 @@
 	return http1.WithoutField(fields, peer.HeaderSeen)
 }
 
+// takeEnds returns the time until the daemon that sent a message with the fields
+// ends, 0 if it does not stop, and the fields without it.
+func (c *Config) takeEnds(fields []guard.Field) (clock.Milli, []guard.Field) {
+	value := http1.Get(fields, peer.HeaderEnds)
+	if value == "" {
+		return 0, fields
+	}
+	left, err := peer.ParseEnds(value)
+	if err != nil {
+		event.Warn(c.Log, event.Malformed, zap.Error(err))
+	}
+	return left, http1.WithoutField(fields, peer.HeaderEnds)
+}
+
 // takeSeen reports the revision in the fields of a message of another daemon and
 // returns the fields without it.
 func (c *Config) takeSeen(fields []guard.Field) []guard.Field {
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -32,12 +32,22 @@
 	// ejectionsChanged is set when the candidates must be rebuilt although the
 	// view is the same.
 	ejectionsChanged bool
+	// endings maps each target whose daemon stops to what the daemon said of its end.
+	endings map[string]ending
 	// firstSeen maps target ids to the instant at which each became known. It
 	// is 0 for targets that need no warm-up: those of the first view, and those
 	// whose record says that they are not cold.
 	firstSeen map[string]clock.Milli
 }
 
+// ending is the announced end of a daemon.
+type ending struct {
+	// end is the instant at which the daemon ends. The announcement is believed
+	// until the instant until, since the daemon may end sooner and start again.
+	end   clock.Milli
+	until clock.Milli
+}
+
 func newService(cfg *Config, name string, link *pick.Bucket, now clock.Milli, daemons int) *service {
 	seed := cfg.Seed
 	for _, b := range []byte(name) {
@@ -56,6 +66,7 @@
 		retryBudget:  newRetryBudget(cfg, daemons, now),
 		targets:      make(map[string]model.Target),
 		ejectedUntil: make(map[string]clock.Milli),
+		endings:      make(map[string]ending),
 		firstSeen:    make(map[string]clock.Milli),
 	}
 }
@@ -131,8 +142,8 @@
 	return s.picker.MinThreshold(now, path)
 }
 
-// applyFeedback passes the load and the threshold that a target's daemon
-// reported to the picker. s.mu must be held.
+// applyFeedback records the end that a target's daemon announced, and passes the load
+// and the threshold that it reported to the picker. s.mu must be held.
 func (s *service) applyFeedback(now clock.Milli, target, op string, fb peer.Feedback) {
 	s.picker.ReportLoad(now, target, pick.LoadReport{
 		Short: pick.Lane{
@@ -141,6 +152,29 @@
 		},
 	})
 	s.picker.ReportThreshold(now, target, op, fb.Threshold)
+	if fb.Ends == 0 {
+		delete(s.endings, target)
+		return
+	}
+	s.endings[target] = ending{
+		end:   now + fb.Ends,
+		until: now + ejectionTime,
+	}
+}
+
+// endingBefore returns the targets whose daemons end before the deadline. s.mu must
+// be held.
+func (s *service) endingBefore(now, deadline clock.Milli) []string {
+	var ids []string
+	for id, e := range s.endings {
+		switch {
+		case now >= e.until:
+			delete(s.endings, id)
+		case e.end < deadline:
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // eject ejects a target for ejectionTime and reports whether it was not ejected
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -63,9 +63,6 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
-	// lastArrival is the instant at which the header of the last request was
-	// complete, 0 before the first.
-	lastArrival atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*session]struct{}
@@ -120,10 +117,6 @@
 // arrived only in part.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// LastArrival returns the instant at which the last request arrived, 0 before the
-// first.
-func (s *Server) LastArrival() clock.Milli { return clock.Milli(s.lastArrival.Load()) }
-
 // Reading returns the number of connections that may still deliver requests.
 func (s *Server) Reading() int {
 	s.mu.Lock()
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -202,7 +202,6 @@
 	r := copyRequest(h)
 	r.From = c.raw.RemoteAddr().String()
 	r.Arrived = c.server.cfg.Clock.Now()
-	c.server.lastArrival.Store(int64(r.Arrived))
 	if string(h.Peek("Expect")) != "" && c.unanswered.Load() == 0 {
 		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
