Read every number of the settings in any form of JSON

Cause: the settings had whole numbers for all bounds but one, while the platform allows fractions. The daemons' only line says so ('cannot unmarshal number 6.5 into Go struct field Settings.grace of type int').

Change: all numbers are read as JSON has them, times count to the millisecond, and a value beyond reason is refused by name instead of overflowing.

--- a/internal/proxy/contain_test.go
+++ b/internal/proxy/contain_test.go
@@ -101,7 +101,7 @@
 	set := testSettings()
 	set.Ready = freeAddr(t)
 	set.Inbound = freeAddr(t)
-	set.Metrics = taken.Addr().(*net.TCPAddr).Port + 1
+	set.Metrics = float64(taken.Addr().(*net.TCPAddr).Port + 1)
 	set.Outbound = taken.Addr().String()
 	d, err := New(set, clock.System(), zap.NewNop())
 	if err != nil {
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -44,7 +44,8 @@
 	// tickEvery is the interval of the daemon's periodic work.
 	tickEvery = 50 * clock.Millisecond
 	// gaugeEvery is the interval at which the gauges are updated.
-	gaugeEvery = clock.Second
+	gaugeEvery       = clock.Second
+	bytesPerMegabyte = 1 << 20
 	// softMemoryPercent is the share of the process's memory limit at which the
 	// Go runtime's soft limit is set. Near it the garbage collector works
 	// harder.
@@ -151,9 +152,9 @@
 		Seed:        binary.LittleEndian.Uint64(random[:8]),
 		Incarnation: d.incarnation,
 		RetryRatio:  set.Ratio,
-		RetrySlack:  set.Slack,
-		RetryWindow: clock.Milli(set.Window) * clock.Second,
-		DrainTime:   clock.Milli(set.Drain),
+		RetrySlack:  int(set.Slack),
+		RetryWindow: set.windowTime(),
+		DrainTime:   set.drainTime(),
 	}
 	d.inbound = flow.NewInbound(cfg)
 	d.outbound = flow.NewOutbound(cfg, d.inbound)
@@ -190,7 +191,9 @@
 }
 
 // messageMemory returns the bytes of a pool for a process limit in megabytes.
-func messageMemory(megabytes int) int { return megabytes << 20 / 100 * messageMemoryPercent }
+func messageMemory(megabytes float64) int {
+	return int(megabytes*bytesPerMegabyte) / 100 * messageMemoryPercent
+}
 
 // run calls f and contains a panic in it.
 func (d *Daemon) run(op string, f func()) {
@@ -283,7 +286,7 @@
 			serve: d.serveReady,
 		},
 		{
-			addr:  net.JoinHostPort(d.settings.Address, strconv.Itoa(d.settings.Metrics)),
+			addr:  net.JoinHostPort(d.settings.Address, strconv.Itoa(int(d.settings.Metrics))),
 			serve: d.meter.serve,
 		},
 		{
@@ -380,6 +383,6 @@
 
 // limitMemory sets the Go runtime's soft memory limit for a process limit of
 // the given size.
-func limitMemory(megabytes int) {
-	debug.SetMemoryLimit(int64(megabytes) << 20 * softMemoryPercent / 100)
+func limitMemory(megabytes float64) {
+	debug.SetMemoryLimit(int64(megabytes*bytesPerMegabyte) * softMemoryPercent / 100)
 }
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -29,7 +29,7 @@
 		Source: newStoreClient(d.settings.Store, timing, d.clock, d.contain).source(),
 		Timing: timing,
 		// The last write may have come one interval before the store's last answer.
-		LapseAfter: (reportsToLapse - 1) * clock.Milli(d.settings.Report),
+		LapseAfter: (reportsToLapse - 1) * d.settings.reportTime(),
 		Readers:    func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
 		Jitter:     func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed: func(now clock.Milli, items []watch.Item, mayLack bool) {
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 
@@ -40,7 +41,7 @@
 		change func(s *Settings)
 		// want is part of the only log line; if empty, nothing may be logged.
 		want  string
-		grace int
+		grace float64
 	}{
 		"nothing": {
 			change: func(*Settings) {},
@@ -73,7 +74,7 @@
 				t.Errorf("log = %s, want at most one line, with %s", log.String(), tt.want)
 			}
 			if d.settings.Grace != tt.grace {
-				t.Errorf("grace = %d, want %d", d.settings.Grace, tt.grace)
+				t.Errorf("grace = %v, want %v", d.settings.Grace, tt.grace)
 			}
 		})
 	}
@@ -148,3 +149,62 @@
 		})
 	}
 }
+
+// Guards against a daemon that does not start because a number in its settings is
+// written as the platform may write it: bounds may be fractions (RECOVER).
+func TestSettingsTakeNumbersInEachForm(t *testing.T) {
+	tests := map[string]struct {
+		number string
+		// isBad says that the error must name the field.
+		isBad bool
+	}{
+		"whole":                           {number: "6"},
+		"a fraction":                      {number: "6.5"},
+		"a fraction that is whole":        {number: "6.0"},
+		"an exponent":                     {number: "6e0"},
+		"an exponent that makes it whole": {number: "0.65E+1"},
+		"a truth value":                   {number: "true", isBad: true},
+		"text":                            {number: `"6"`, isBad: true},
+		"beyond a float":                  {number: "1e999", isBad: true},
+		"beyond reason":                   {number: "1e300", isBad: true},
+		"negative":                        {number: "-1.5", isBad: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, field := range []string{"memory", "change", "report", "drain", "grace", "ratio", "window", "slack"} {
+				_, err := ReadSettings(strings.NewReader(settingsWith(t, field, tt.number)))
+				if !tt.isBad && err != nil || tt.isBad && (err == nil || !strings.Contains(err.Error(), field)) {
+					t.Errorf("%s: %s: got %v", field, tt.number, err)
+				}
+			}
+		})
+	}
+}
+
+// settingsWith returns valid settings in JSON, in which one field has the given text.
+func settingsWith(t *testing.T, field, text string) string {
+	t.Helper()
+	body, err := json.Marshal(testSettings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values map[string]any
+	if err := json.Unmarshal(body, &values); err != nil {
+		t.Fatal(err)
+	}
+	delete(values, field)
+	rest, err := json.Marshal(values)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimSuffix(string(rest), "}") + `,"` + field + `":` + text + "}"
+}
+
+func TestFractionsOfSettingsCount(t *testing.T) {
+	s := testSettings()
+	s.Grace, s.Window, s.Drain, s.Change = 6.5, 10.25, 2500.75, 2499.5
+	got := []clock.Milli{s.graceTime(), s.windowTime(), s.drainTime(), s.changeBound()}
+	if want := []clock.Milli{6500, 10250, 2500, 2499}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strconv"
 
@@ -11,7 +12,8 @@
 )
 
 // Settings are the daemon's settings on the platform, in JSON. The platform
-// fills them in from the template deploy/settings.json.
+// fills them in from the template deploy/settings.json. Every number may be a
+// fraction, in any form that JSON allows.
 type Settings struct {
 	// Name is the host's name, Address its IP address.
 	Name    string `json:"name"`
@@ -30,31 +32,41 @@
 	Inbound  string `json:"inbound"`
 	Ready    string `json:"ready"`
 	// Metrics is the port on Address where metrics are served.
-	Metrics int `json:"metrics"`
+	Metrics float64 `json:"metrics"`
 	// Store is the address of the platform's store.
 	Store string `json:"store"`
 	// Memory is the memory limit of the process in MB.
-	Memory int `json:"memory"`
+	Memory float64 `json:"memory"`
 	// Change is the time in milliseconds within which a change of the configuration
 	// is in force after the store has acknowledged it; 0 means that of Drain.
-	Change int `json:"change"`
+	Change float64 `json:"change"`
 	// Report is the interval in milliseconds at which targets write their records. A
 	// record lapses when three of them have passed without; 0 means that it may lapse
 	// at any time.
-	Report int `json:"report"`
+	Report float64 `json:"report"`
 	// Drain is the time in milliseconds after which a leaving target gets no
 	// new work. Grace is the time in seconds between the request to stop and
 	// the kill.
-	Drain int `json:"drain"`
-	Grace int `json:"grace"`
+	Drain float64 `json:"drain"`
+	Grace float64 `json:"grace"`
 	// Ratio, Window and Slack define the retry budget of a service over all
 	// daemons: in Window seconds, extra attempts may reach the share Ratio of
 	// its requests plus Slack.
 	Ratio  float64 `json:"ratio"`
-	Window int     `json:"window"`
-	Slack  int     `json:"slack"`
+	Window float64 `json:"window"`
+	Slack  float64 `json:"slack"`
 }
 
+// The greatest values of numbers in the settings.
+const (
+	maxPort    = 65_535
+	maxMemory  = 1 << 20
+	maxSeconds = 24 * 60 * 60
+	maxMillis  = maxSeconds * 1000
+	maxRatio   = 1000
+	maxSlack   = 1 << 30
+)
+
 // ReadSettings decodes and validates settings. The error names the first
 // invalid field. Unknown fields are ignored.
 func ReadSettings(r io.Reader) (Settings, error) {
@@ -126,55 +138,67 @@
 			return fmt.Errorf("settings: field %s: %w", a.name, err)
 		}
 	}
-	if s.Metrics < 1 || s.Metrics > 65_535 {
-		return fmt.Errorf("settings: field metrics: %d is not a port", s.Metrics)
+	if s.Metrics < 1 || s.Metrics > maxPort || s.Metrics != math.Trunc(s.Metrics) {
+		return fmt.Errorf("settings: field metrics: %v is not a port", s.Metrics)
 	}
 	numbers := []struct {
 		name  string
 		value float64
 		least float64
+		most  float64
 	}{
 		{
 			name:  "memory",
-			value: float64(s.Memory),
+			value: s.Memory,
 			least: 1,
+			most:  maxMemory,
 		},
 		{
 			name:  "drain",
-			value: float64(s.Drain),
+			value: s.Drain,
 			least: 1,
+			most:  maxMillis,
 		},
 		{
 			name:  "grace",
-			value: float64(s.Grace),
+			value: s.Grace,
 			least: 1,
+			most:  maxSeconds,
 		},
 		{
 			name:  "window",
-			value: float64(s.Window),
+			value: s.Window,
 			least: 1,
+			most:  maxSeconds,
 		},
 		{
 			name:  "change",
-			value: float64(s.Change),
+			value: s.Change,
+			most:  maxMillis,
 		},
 		{
 			name:  "report",
-			value: float64(s.Report),
+			value: s.Report,
+			most:  maxMillis,
 		},
 		{
 			name:  "ratio",
 			value: s.Ratio,
+			most:  maxRatio,
 		},
 		{
 			name:  "slack",
-			value: float64(s.Slack),
+			value: s.Slack,
+			most:  maxSlack,
 		},
 	}
 	for _, n := range numbers {
 		if n.value < n.least {
 			return fmt.Errorf("settings: field %s: %v is below %v", n.name, n.value, n.least)
 		}
+		if n.value > n.most {
+			return fmt.Errorf("settings: field %s: %v is above %v", n.name, n.value, n.most)
+		}
 	}
 	if s.Centres[s.Centre] != s.Region {
 		return fmt.Errorf("settings: field centres: %s is not in %s", s.Centre, s.Region)
@@ -186,11 +210,23 @@
 // force: the configuration's, and the leave of a target.
 func (s *Settings) changeBound() clock.Milli {
 	if s.Change == 0 {
-		return clock.Milli(s.Drain)
+		return s.drainTime()
 	}
 	return clock.Milli(min(s.Change, s.Drain))
 }
 
+// The times of the settings, without what is less than a millisecond.
+
+func (s *Settings) drainTime() clock.Milli { return clock.Milli(s.Drain) }
+
+func (s *Settings) reportTime() clock.Milli { return clock.Milli(s.Report) }
+
+func (s *Settings) graceTime() clock.Milli { return ofSeconds(s.Grace) }
+
+func (s *Settings) windowTime() clock.Milli { return ofSeconds(s.Window) }
+
+func ofSeconds(n float64) clock.Milli { return clock.Milli(n * float64(clock.Second)) }
+
 // inboundPort returns the port of the inbound listener, which is the same on
 // all hosts, or 0 if Inbound has no numeric port.
 func (s *Settings) inboundPort() int {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -59,7 +59,7 @@
 // number is logged.
 func (d *Daemon) Stop() {
 	began := d.clock.Now()
-	grace := clock.Milli(d.settings.Grace) * clock.Second
+	grace := d.settings.graceTime()
 	exitAt := began + grace - exitMargin
 	lastAccept := exitAt - acceptedLinger - listenerDrainTime
 	d.stopping.Store(true)
