--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -69,7 +69,7 @@
 	Service string
 	// Weight is the share of the requests, relative to the other services of
 	// the route.
-	Weight int
+	Weight float64
 }
 
 // Match returns the route of host with the longest prefix of path, and false if
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -377,11 +377,12 @@
 	n.targetClient.Sweep()
 }
 
-// timeLeft reads from a header how long the sender still waits.
+// timeLeft reads from a header how long the sender still waits, in milliseconds that
+// may have a fraction.
 func timeLeft(r *http1.Request, header string) clock.Milli {
-	ms, err := strconv.ParseInt(r.Get(header), 10, 64)
-	if err != nil || ms < 0 {
+	ms, err := strconv.ParseFloat(r.Get(header), 64)
+	if err != nil || !(ms >= 0) {
 		return defaultDeadline
 	}
-	return clock.Milli(ms)
+	return clock.Milli(min(ms, maxDeadline))
 }
--- a/internal/trans/flow/inbound_test.go
+++ b/internal/trans/flow/inbound_test.go
@@ -168,3 +168,28 @@
 		t.Errorf("%v is passed by though it does not stop", got)
 	}
 }
+
+// Guards against a request that gets more time than its sender waits, because the
+// time is no whole number (BUDGET).
+func TestTimeLeftMayHaveAFraction(t *testing.T) {
+	tests := map[string]clock.Milli{
+		"600":    600,
+		"600.75": 600,
+		"6e2":    600,
+		"0":      0,
+		"-1":     defaultDeadline,
+		"":       defaultDeadline,
+		"NaN":    defaultDeadline,
+		"soon":   defaultDeadline,
+		"1e300":  clock.Milli(maxDeadline),
+	}
+	for text, want := range tests {
+		t.Run(text, func(t *testing.T) {
+			r := &http1.Request{}
+			r.Fields = http1.WithField(nil, "Deadline-Ms", text)
+			if got := timeLeft(r, "Deadline-Ms"); got != want {
+				t.Errorf("got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -25,6 +25,8 @@
 	// defaultDeadline applies to a request that does not say how long its
 	// sender waits.
 	defaultDeadline = 5 * clock.Second
+	// maxDeadline is the longest time that a sender can wait.
+	maxDeadline = 24 * 60 * 60 * float64(clock.Second)
 	// peerIdleTimeout is the time after which an unused connection to another
 	// daemon is closed. The inbound side waits longer, so that it does not close
 	// a connection while a request is on its way.
@@ -265,7 +267,7 @@
 	if len(route.Services) == 1 {
 		return route.Services[0].Service
 	}
-	total := 0
+	total := 0.0
 	for _, p := range route.Services {
 		total += p.Weight
 	}
@@ -283,9 +285,9 @@
 	}
 	o.spreadPos[route.Name] = pos
 	o.mu.Unlock()
-	point := pos * float64(total)
+	point := pos * total
 	for _, p := range route.Services {
-		point -= float64(p.Weight)
+		point -= p.Weight
 		if point < 0 {
 			return p.Service
 		}
