Take only a record of the own service for the host's target

Cause: of all records with the address of its target a daemon took the latest, whatever service it named, and refused what was meant for the real one: event 501 with reason 'moved' at the daemons beside the targets, and no event 500 with such an id among those tried. Besides, each record counted as a daemon, so many strays stretched the watches and shrank the retry budgets.

Change: the own target's record must have its service; without any, one of a service that the configuration names counts. Hosts of such services are counted, not records.

--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -241,7 +241,7 @@
 	if !v.Fleet.Loaded {
 		return
 	}
-	t, ok := v.Fleet.ByAddr(d.settings.Target)
+	t, ok := v.TargetAt(d.settings.Target, d.settings.Service)
 	u := flow.TargetUpdate{
 		Target:    t,
 		HasRecord: ok,
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -30,7 +30,7 @@
 		Timing: timing,
 		// The last write may have come one interval before the store's last answer.
 		LapseAfter: (reportsToLapse - 1) * d.settings.reportTime(),
-		Readers:    func() int { return len(d.viewTracker.view.Load().Fleet.Targets) },
+		Readers:    func() int { return d.viewTracker.view.Load().CountHosts() },
 		Jitter:     func(n clock.Milli) clock.Milli { return clock.Milli(mrand.Int64N(int64(n))) },
 		Listed: func(now clock.Milli, items []watch.Item, mayLack bool) {
 			d.run("apply a list of the store", func() { d.viewTracker.applyList(now, items, mayLack) })
--- a/internal/state/model/fleet.go
+++ b/internal/state/model/fleet.go
@@ -118,28 +118,3 @@
 	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return targets
 }
-
-// ByAddr returns the target that listens on addr. If two targets have the same
-// address, it returns the one that started last.
-func (f Fleet) ByAddr(addr string) (Target, bool) {
-	var found Target
-	ok := false
-	for _, t := range f.Targets {
-		if t.Addr == addr && (!ok || t.StartTime > found.StartTime) {
-			found = t
-			ok = true
-		}
-	}
-	return found, ok
-}
-
-// View is the state that requests are routed with: the configuration in force
-// and the fleet.
-type View struct {
-	// Config is nil until a configuration has been read.
-	Config *Config
-	Fleet  Fleet
-	// IsLate says that what changed last may have changed long before: it was
-	// found in a list, or a record was still missing after an outage.
-	IsLate bool
-}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -304,7 +304,7 @@
 	defer o.mu.Unlock()
 	s, ok := o.services[name]
 	if !ok {
-		s = newService(&o.cfg, name, o.linkBudget, o.cfg.Clock.Now(), len(o.cfg.View().Fleet.Targets))
+		s = newService(&o.cfg, name, o.linkBudget, o.cfg.Clock.Now(), o.cfg.View().CountHosts())
 		o.services[name] = s
 	}
 	return s
