Bound a watch of the store by the promise, not by the fleet

Cause: a watch whose answer was lost is waited for to its end, which was up to half a second for each daemon of the fleet, and only traffic told a daemon that it had missed a change. Event 209 with equal 'seen' and 'heard' came before event 200 at each late daemon; lists (event 208) are ruled out.

Change: a watch lasts for the platform's stable window and half of the bound at most (new setting 'stable'), at any size of the fleet.

--- a/internal/coord/watch/read.go
+++ b/internal/coord/watch/read.go
@@ -152,7 +152,7 @@
 			Heard:  f.heard,
 		}
 		r.sentAt = f.cfg.Clock.Now()
-		r.endsAt = r.sentAt + maxWatchWait
+		r.endsAt = r.sentAt + f.cfg.Timing.MaxWatch
 		r.patience = min(f.cfg.Timing.MaxRepeat, r.patience*2)
 	}
 	f.mu.Unlock()
@@ -211,7 +211,7 @@
 	defer f.mu.Unlock()
 	r.attempts++
 	r.sentAt = f.cfg.Clock.Now()
-	r.endsAt = r.sentAt + maxWatchWait
+	r.endsAt = r.sentAt + f.cfg.Timing.MaxWatch
 	return r.attempts - 1
 }
 
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -24,6 +24,9 @@
 // of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	timing := watch.TimingFor(d.settings.changeBound())
+	if d.settings.Stable > 0 {
+		timing = timing.WithStable(d.settings.stableTime())
+	}
 	return watch.New(watch.Config{
 		Clock:  d.clock,
 		Source: newStoreClient(d.settings.Store, timing, d.clock, d.contain).source(),
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -40,6 +40,9 @@
 	// Change is the time in milliseconds within which a change of the configuration
 	// is in force after the store has acknowledged it; 0 means that of Drain.
 	Change float64 `json:"change"`
+	// Stable is the time in milliseconds after a disturbance of the store from which
+	// on the platform counts on Change again; 0 means as long as Change.
+	Stable float64 `json:"stable"`
 	// Report is the interval in milliseconds at which targets write their records. A
 	// record lapses when three of them have passed without; 0 means that it may lapse
 	// at any time.
@@ -176,6 +179,11 @@
 			value: s.Change,
 			most:  maxMillis,
 		},
+		{
+			name:  "stable",
+			value: s.Stable,
+			most:  maxMillis,
+		},
 		{
 			name:  "report",
 			value: s.Report,
@@ -219,6 +227,8 @@
 
 func (s *Settings) drainTime() clock.Milli { return clock.Milli(s.Drain) }
 
+func (s *Settings) stableTime() clock.Milli { return clock.Milli(s.Stable) }
+
 func (s *Settings) reportTime() clock.Milli { return clock.Milli(s.Report) }
 
 func (s *Settings) graceTime() clock.Milli { return ofSeconds(s.Grace) }
