Renew a stamp that is no longer good and send the attempt again

After a restart of the guard's daemon, 503 with few targets.

Cause: the sender took the guard's 'unknown' (forgotten) for a word about the request. The guard has not started it, and the sender knows that there was no other arrival of that attempt.

--- a/internal/state/guard/linearizability_test.go
+++ b/internal/state/guard/linearizability_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // action is one kind of call to a table about one request id.
@@ -19,6 +21,11 @@
 	doFinish
 	doFail
 	doRefuseStarted
+	// doBeginForgotten and doBeginElsewhere are arrivals with a stamp of a forgotten
+	// generation and of another incarnation. Their sender renews the stamp and sends
+	// the same attempt again, which is doBegin.
+	doBeginForgotten
+	doBeginElsewhere
 
 	actions
 )
@@ -78,6 +85,13 @@
 			return sequentialEntry{state: held}, output{status: Fresh}
 		}
 		return s, s.verdict()
+	case doBeginForgotten:
+		if s.state == 0 {
+			return s, output{status: Unknown}
+		}
+		return s, s.verdict()
+	case doBeginElsewhere:
+		return s, output{status: Unknown}
 	case doQuery:
 		if s.state == 0 {
 			return sequentialEntry{state: tombstone}, output{status: NotRun}
@@ -118,11 +132,17 @@
 
 func call(g *Table, in input) output {
 	var v Verdict
+	present := newTicket(in.id, g.Stats().Generation)
 	switch in.action {
 	case doBegin:
+		v = g.Begin(0, present, 0)
+	case doBeginForgotten:
 		v = g.Begin(0, newTicket(in.id, 1), 0)
+	case doBeginElsewhere:
+		present.Incarnation++
+		v = g.Begin(0, present, 0)
 	case doQuery:
-		v = g.Query(0, newTicket(in.id, 1))
+		v = g.Query(0, present)
 	case doStart:
 		return output{ok: g.Start(in.id)}
 	case doRefuse:
@@ -189,9 +209,23 @@
 	})
 }
 
+// newAgedTable returns a table that has forgotten its first generation.
+func newAgedTable() *Table {
+	g := newDefaultTable()
+	g.Begin(0, newTicket("old", 1), 0)
+	g.Start("old")
+	g.Finish(0, "old", answer("A"))
+	for i := range clock.Milli(2 * generationsPerWindow) {
+		g.Sweep(i * window)
+	}
+	return g
+}
+
+// Arrivals whose stamp is no longer good are not started, and the same attempt with a
+// renewed stamp runs once.
 func TestTableIsLinearizable(t *testing.T) {
 	for seed := range uint64(300) {
-		if !porcupine.CheckOperations(model, record(newDefaultTable(), seed)) {
+		if !porcupine.CheckOperations(model, record(newAgedTable(), seed)) {
 			t.Fatalf("history of seed %d is not linearizable", seed)
 		}
 	}
@@ -209,6 +243,14 @@
 			input{action: doQuery}, output{status: NotRun},
 			input{action: doBegin}, output{status: Fresh},
 		),
+		"started with a stamp that is no longer good": sequence(
+			input{action: doBeginForgotten}, output{status: Fresh},
+		),
+		"Fresh again with a renewed stamp": sequence(
+			input{action: doBegin}, output{status: Fresh},
+			input{action: doBeginForgotten}, output{status: Running},
+			input{action: doBegin}, output{status: Fresh},
+		),
 		"refused after it was started": sequence(
 			input{action: doBegin}, output{status: Fresh},
 			input{action: doStart}, output{ok: true},
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -321,13 +321,16 @@
 		}
 		hop.Stamp = fb.Stamp
 	}
-	a, fb := o.send(ctx, c, t, hop, http1.Options{})
-	if fb.Stamp != (ticket.Stamp{}) {
-		o.setStamp(addr, fb.Stamp)
+	a, fb := o.sendStamped(ctx, c, t, hop)
+	if isStampRefused(fb) && fb.Stamp != (ticket.Stamp{}) {
+		// After a pause, or a restart of the other daemon, the stamp of before is no
+		// longer good. The answer brought a new one.
+		hop.Stamp = fb.Stamp
+		a, fb = o.sendStamped(ctx, c, t, hop)
 	}
-	if fb.Outcome == peer.OtherIncarnation {
-		// The stamp is of another incarnation than the one that answered, which
-		// has received the attempt only now and has not started it.
+	if isStampRefused(fb) {
+		// The guard has received the attempt only now and has not started it. It
+		// was sent to nobody else.
 		fb.Outcome = peer.NotRun
 		return a, fb
 	}
@@ -337,6 +340,35 @@
 	return a, fb
 }
 
+// sendStamped sends an attempt with the stamp in hop, and records the stamp that the
+// answer brings.
+func (o *Outbound) sendStamped(ctx context.Context, c *call, t *model.Target, hop peer.Hop) (guard.Answer, peer.Feedback) {
+	a, fb := o.send(ctx, c, t, hop, http1.Options{})
+	if fb.Stamp != (ticket.Stamp{}) {
+		o.setStamp(o.cfg.addrOf(t), fb.Stamp)
+	}
+	return a, fb
+}
+
+// isStampRefused reports whether the guard did not start an attempt because of its
+// stamp: it is of another incarnation, or of a generation that is closed, forgotten
+// or has not begun.
+func isStampRefused(fb peer.Feedback) bool {
+	if !fb.Received {
+		return false
+	}
+	switch fb.Outcome {
+	case peer.OtherIncarnation:
+		return true
+	case peer.NotRun:
+		return fb.Reason == guard.Stale.String()
+	case peer.Unknown:
+		return fb.Reason == guard.Forgotten.String()
+	case peer.Done, peer.Running:
+	}
+	return false
+}
+
 // fetchStamp asks the daemon on the host of t for its current stamp.
 func (o *Outbound) fetchStamp(ctx context.Context, c *call, t *model.Target) peer.Feedback {
 	_, fb := o.send(ctx, o.query(c), t, peer.Hop{
