--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -164,8 +164,8 @@
 }
 
 // choose picks a target. It excludes targets on which the request ran, those whose
-// daemon refused it and those whose daemon ends before the deadline. The target that rejected it last is chosen only if
-// there is no other.
+// daemon refused it and those whose daemon ends before the deadline. The target that
+// rejected it last is chosen only if there is no other.
 func (o *Outbound) choose(s *service, c *call) (model.Target, pick.Call, error) {
 	now := o.cfg.Clock.Now()
 	s.mu.Lock()
