Observe exchanges from the periodic work, and log pauses

Change: a client observes its connections in use from its periodic work; only long answers have a timer. The store's client has that work too.

--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -46,6 +46,9 @@
 	// gaugeEvery is the interval at which the gauges are updated.
 	gaugeEvery       = clock.Second
 	bytesPerMegabyte = 1 << 20
+	// pausedAfter is the time without periodic work from which on the process counts
+	// as paused.
+	pausedAfter = 500 * clock.Millisecond
 	// softMemoryPercent is the share of the process's memory limit at which the
 	// Go runtime's soft limit is set. Near it the garbage collector works
 	// harder.
@@ -84,6 +87,7 @@
 	meter       *meter
 	viewTracker *viewTracker
 	follower    *watch.Follower
+	store       *storeClient
 	// incarnation identifies this run of the daemon.
 	incarnation uint64
 	inbound     *flow.Inbound
@@ -322,6 +326,7 @@
 	ticker := time.NewTicker(tickEvery.Duration())
 	defer ticker.Stop()
 	gaugesAt := d.clock.Now()
+	tickedAt := gaugesAt
 	for {
 		select {
 		case <-ctx.Done():
@@ -329,6 +334,8 @@
 		case <-ticker.C:
 		}
 		now := d.clock.Now()
+		d.logPause(now - tickedAt)
+		tickedAt = now
 		isGaugeTime := now-gaugesAt >= gaugeEvery
 		if isGaugeTime {
 			gaugesAt = now
@@ -337,10 +344,19 @@
 	}
 }
 
+// logPause logs that the process was paused if the time since the last periodic work
+// shows it.
+func (d *Daemon) logPause(gap clock.Milli) {
+	if gap >= pausedAfter {
+		event.Warn(d.log, event.Resumed, zap.String("detail", fmt.Sprintf("did not run for %d ms", gap)))
+	}
+}
+
 // tickOnce does the periodic work that is due at now.
 func (d *Daemon) tickOnce(now clock.Milli, isGaugeTime bool) {
 	d.viewTracker.expireTargets(now)
 	d.follower.Tick()
+	d.store.client.Sweep()
 	d.inbound.Tick()
 	d.outbound.Tick()
 	if isGaugeTime {
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -19,17 +19,18 @@
 	reportsToLapse = 3
 )
 
-// newFollower returns the follower that keeps the view up to date. It uses a
-// single watch over all keys, which is one request where a watch for each kind
-// of key would be two.
+// newFollower returns the follower that keeps the view up to date, and sets the client
+// that it reads the store with. It uses a single watch over all keys, which is one
+// request where a watch for each kind of key would be two.
 func (d *Daemon) newFollower() *watch.Follower {
 	timing := watch.TimingFor(d.settings.changeBound())
 	if d.settings.Stable > 0 {
 		timing = timing.WithStable(d.settings.stableTime())
 	}
+	d.store = newStoreClient(d.settings.Store, timing, d.clock, d.contain)
 	return watch.New(watch.Config{
 		Clock:  d.clock,
-		Source: newStoreClient(d.settings.Store, timing, d.clock, d.contain).source(),
+		Source: d.store.source(),
 		Timing: timing,
 		// The last write may have come one interval before the store's last answer.
 		LapseAfter: (reportsToLapse - 1) * d.settings.reportTime(),
--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -16,6 +16,7 @@
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/rescue"
+	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -47,6 +48,10 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// busy holds the connections with an exchange in progress. observedAt is when
+	// they were last observed.
+	busy       map[*conn]struct{}
+	observedAt clock.Milli
 }
 
 // NewClient returns a client without connections.
@@ -61,6 +66,7 @@
 		cfg:        cfg,
 		readHeader: (*fasthttp.ResponseHeader).Read,
 		idle:       make(map[string][]*conn),
+		busy:       make(map[*conn]struct{}),
 	}
 }
 
@@ -84,10 +90,10 @@
 		return guard.Answer{}, c.newError(ctx, addr, Unsent, err)
 	}
 	n.record(echo)
+	c.begin(n)
 	stop := context.AfterFunc(ctx, n.abort)
-	watched := observe(n.raw, c.cfg.Clock.Now, n.abort)
 	a, reusable, err := c.exchange(ctx, n, r)
-	if watched.stop() && err != nil {
+	if c.end(n) && err != nil {
 		err = errSilent
 	}
 	if !stop() || !n.recordAnswer(echo, a.Status) {
@@ -134,9 +140,48 @@
 	return a, reusable, err
 }
 
-// Sweep closes the connections that have been idle for too long.
+// begin registers an exchange that begins on n.
+func (c *Client) begin(n *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n.beganAt = c.cfg.Clock.Now()
+	n.silence = sock.Silence{}
+	c.busy[n] = struct{}{}
+}
+
+// end ends the exchange on n and reports whether the other end had fallen silent.
+func (c *Client) end(n *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.busy, n)
+	return n.isSilent
+}
+
+// observeBusy aborts the exchanges whose other end has fallen silent.
+func (c *Client) observeBusy(now clock.Milli) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.observedAt < observeEvery {
+		return
+	}
+	c.observedAt = now
+	for n := range c.busy {
+		if now-n.beganAt < observeEvery {
+			continue
+		}
+		d, ok := sock.ReadDelivery(n.raw)
+		if ok && n.silence.Observe(now, d, silenceLimit) {
+			n.isSilent = true
+			n.abort()
+		}
+	}
+}
+
+// Sweep closes the connections that have been idle for too long, and those in use
+// whose other end has fallen silent. It must be called at least twice a second.
 func (c *Client) Sweep() {
 	now := c.cfg.Clock.Now()
+	c.observeBusy(now)
 	var expired []*conn
 	c.mu.Lock()
 	for addr, conns := range c.idle {
--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -61,6 +61,12 @@
 	// exchanges modulo its length.
 	recent    [recentEchoes]uint64
 	exchanges int
+	// beganAt is when the exchange in progress began, silence judges whether the
+	// other end has fallen silent since, and isSilent is set if so. They belong to
+	// the client's mutex.
+	beganAt  clock.Milli
+	silence  sock.Silence
+	isSilent bool
 	// refused holds the echoes of all exchanges that were refused or failed.
 	refused []uint64
 }
--- a/internal/trans/http1/reply.go
+++ b/internal/trans/http1/reply.go
@@ -56,8 +56,13 @@
 	if noBody || !hasBody(a.Status) {
 		body = nil
 	}
+	bufs := buffersOf(a, body, closes)
+	if len(bufs) == 1 {
+		// A short answer fits in the buffers between.
+		return c.writeBuffers(bufs)
+	}
 	watched := observe(c.raw, c.server.cfg.Clock.Now, func() { _ = c.raw.Close() })
-	err := c.writeBuffers(buffersOf(a, body, closes))
+	err := c.writeBuffers(bufs)
 	if watched.stop() {
 		return errSilent
 	}
--- a/internal/trans/http1/silent.go
+++ b/internal/trans/http1/silent.go
@@ -12,12 +12,12 @@
 const (
 	// silenceLimit is how long a peer may owe acknowledgements without a sign of life.
 	silenceLimit = 2 * clock.Second
-	// observeEvery is the interval at which a connection in use is observed.
+	// observeEvery is the interval at which connections in use are observed.
 	observeEvery = 500 * clock.Millisecond
 )
 
-// observer closes a connection whose peer falls silent while the connection is in
-// use. The system's own limit for that, TCP_USER_TIMEOUT, does not serve: it also ends
+// observer closes a connection whose peer falls silent while a long answer is written
+// to it. The system's own limit for that, TCP_USER_TIMEOUT, does not serve: it also ends
 // connections whose peer is alive and only reads slowly.
 type observer struct {
 	conn net.Conn
