--- a/internal/state/model/view_test.go
+++ b/internal/state/model/view_test.go
@@ -66,7 +66,7 @@
 // Guards against many records of another writer that are counted as daemons, so that
 // each daemon reads the store too rarely and repeats too little (CONFIG).
 func TestStrayRecordsAreNoHosts(t *testing.T) {
-	var targets []Target
+	targets := make([]Target, 0, 104)
 	for i := range 4 {
 		targets = append(targets, Target{
 			ID:      fmt.Sprintf("t-%d", i),
