--- a/internal/proto/peer/peer_test.go
+++ b/internal/proto/peer/peer_test.go
@@ -71,10 +71,16 @@
 			want: 1200,
 			ok:   true,
 		},
-		"none":     {},
-		"zero":     {text: "0"},
-		"negative": {text: "-5"},
-		"no time":  {text: "soon"},
+		"none": {},
+		"zero": {
+			text: "0",
+		},
+		"negative": {
+			text: "-5",
+		},
+		"no time": {
+			text: "soon",
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -158,16 +158,41 @@
 		// isBad says that the error must name the field.
 		isBad bool
 	}{
-		"whole":                           {number: "6"},
-		"a fraction":                      {number: "6.5"},
-		"a fraction that is whole":        {number: "6.0"},
-		"an exponent":                     {number: "6e0"},
-		"an exponent that makes it whole": {number: "0.65E+1"},
-		"a truth value":                   {number: "true", isBad: true},
-		"text":                            {number: `"6"`, isBad: true},
-		"beyond a float":                  {number: "1e999", isBad: true},
-		"beyond reason":                   {number: "1e300", isBad: true},
-		"negative":                        {number: "-1.5", isBad: true},
+		"whole": {
+			number: "6",
+		},
+		"a fraction": {
+			number: "6.5",
+		},
+		"a fraction that is whole": {
+			number: "6.0",
+		},
+		"an exponent": {
+			number: "6e0",
+		},
+		"an exponent that makes it whole": {
+			number: "0.65E+1",
+		},
+		"a truth value": {
+			number: "true",
+			isBad:  true,
+		},
+		"text": {
+			number: `"6"`,
+			isBad:  true,
+		},
+		"beyond a float": {
+			number: "1e999",
+			isBad:  true,
+		},
+		"beyond reason": {
+			number: "1e300",
+			isBad:  true,
+		},
+		"negative": {
+			number: "-1.5",
+			isBad:  true,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/state/model/view_test.go
+++ b/internal/state/model/view_test.go
@@ -91,8 +91,12 @@
 	return &View{
 		Config: &Config{
 			Services: map[string]Service{
-				"stock": {Name: "stock"},
-				"shop":  {Name: "shop"},
+				"stock": {
+					Name: "stock",
+				},
+				"shop": {
+					Name: "shop",
+				},
 			},
 		},
 		Fleet: Fleet{}.WithList(0, targets, false),
