Keep the connections of a test's target

The new tests beside it allocate much more. Change: the target keeps its connections to the end of the test. The check is the same.

--- a/internal/trans/http1/http1_test.go
+++ b/internal/trans/http1/http1_test.go
@@ -278,13 +278,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
+	// The connections are kept: the garbage collector would close them.
+	var mu sync.Mutex
+	var conns []net.Conn
+	t.Cleanup(func() {
+		_ = l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	})
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
 			go func() {
 				br := bufio.NewReader(c)
 				for {
