Take an answer with a broken status line for none

Seen by callers: an instance sent an answer with the status 000, and the caller got it as 200 with the instance's signature (MIXED).

Cause: the HTTP library accepts any three digits as a status and reports 200 for 0. The daemon believed whatever the library made of the bytes.

Change: the new package head checks the status line by the standard before the library parses it: protocol HTTP/1, one blank, a status from 100 to 599 other than 101, no control bytes. http1 reads every head of targets, daemons and the store through it; the pool of the /service/operation front and the reader of the configuration service pass what their library reads through the same check. What fails ends the exchange as a bad answer and its connection.

--- a/internal/trans/http1/client.go
+++ b/internal/trans/http1/client.go
@@ -64,7 +64,7 @@
 	}
 	return &Client{
 		cfg:        cfg,
-		readHeader: (*fasthttp.ResponseHeader).Read,
+		readHeader: readHead,
 		idle:       make(map[string][]*conn),
 		busy:       make(map[*conn]struct{}),
 	}
--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/head"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/hold"
 	"siskinswitch.example/siskin/internal/state/rescue"
@@ -252,15 +253,16 @@
 
 func kindOf(err error) Kind {
 	var chunk fasthttp.ErrBrokenChunk
-	var head *fasthttp.ErrSmallBuffer
+	var long *fasthttp.ErrSmallBuffer
+	var broken *head.Error
 	var panicked *rescue.Error
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, errSilent):
 		return Timeout
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.As(err, &head):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.Is(err, errLongHead), errors.As(err, &long):
 		return TooLarge
 	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadBody), errors.As(err, &chunk),
-		errors.As(err, &panicked):
+		errors.As(err, &broken), errors.As(err, &panicked):
 		return BadAnswer
 	}
 	return Interrupted
--- a/internal/trans/pool/pool.go
+++ b/internal/trans/pool/pool.go
@@ -20,6 +20,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/head"
 	"siskinswitch.example/siskin/internal/trans/sock"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -213,15 +214,16 @@
 	}
 }
 
-// strictConn reports the end of the connection within an answer as an error. The
-// library would otherwise accept a body that is delimited only by the end of the
-// connection, where a truncated body looks complete. strictConn also refuses to
-// begin a request on a connection that the peer has closed or that has unread
+// strictConn reports the end of the connection within an answer, and a malformed head
+// of one, as an error. The library would otherwise accept a body that is delimited only
+// by the end of the connection, where a truncated body looks complete. strictConn also
+// refuses to begin a request on a connection that the peer has closed or that has unread
 // bytes, such as a late second copy of an answer.
 type strictConn struct {
 	net.Conn
 	// answering is set from the first byte of an answer to the next request.
 	answering bool
+	heads     head.Stream
 }
 
 func (c *strictConn) Write(b []byte) (int, error) {
@@ -229,6 +231,7 @@
 		return 0, errStale
 	}
 	c.answering = false
+	c.heads.Begin()
 	return c.Conn.Write(b)
 }
 
@@ -237,6 +240,9 @@
 	if n > 0 {
 		c.answering = true
 	}
+	if broken := c.heads.Check(b[:n]); broken != nil {
+		return 0, broken
+	}
 	if errors.Is(err, io.EOF) && c.answering {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/trans/pool/pool_test.go
+++ b/internal/trans/pool/pool_test.go
@@ -84,6 +84,18 @@
 			closes: true,
 			want:   Interrupted,
 		},
+		"a status that is none": {
+			answer: "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
+			want:   Interrupted,
+		},
+		"a status that is none, after an interim answer": {
+			answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
+			want:   Interrupted,
+		},
+		"another protocol that nobody asked for": {
+			answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+			want:   Interrupted,
+		},
 		"no answer": {
 			answer: "",
 			closes: false,
--- a/internal/trans/source/exchange.go
+++ b/internal/trans/source/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"siskinswitch.example/siskin/internal/proto/head"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -59,10 +60,27 @@
 	}, nil
 }
 
-// boundConn is a connection that is closed when a context ends.
+// boundConn is a connection that is closed when a context ends. A malformed head of an
+// answer is an error.
 type boundConn struct {
 	net.Conn
 	detach func() bool
+	heads  head.Stream
+}
+
+// Write begins a request or goes on with it.
+func (b *boundConn) Write(p []byte) (int, error) {
+	b.heads.Begin()
+	return b.Conn.Write(p)
+}
+
+// Read reads a part of an answer.
+func (b *boundConn) Read(p []byte) (int, error) {
+	n, err := b.Conn.Read(p)
+	if broken := b.heads.Check(p[:n]); broken != nil {
+		return 0, broken
+	}
+	return n, err
 }
 
 // Close closes the connection and detaches it from the context.
--- a/internal/trans/source/source_test.go
+++ b/internal/trans/source/source_test.go
@@ -97,6 +97,10 @@
 			answer: "\x00\xff\x00\xff\r\n\r\n",
 			want:   Unreachable,
 		},
+		"a status that is none": {
+			answer: "HTTP/1.1 000 OK\r\nETag: \"7\"\r\nContent-Length: 1\r\n\r\nx",
+			want:   Unreachable,
+		},
 		"Content-Length above the limit": {
 			answer: ok + "Content-Length: 1000000000\r\n\r\n",
 			hang:   true,
