Take a part of an answer that was reset during the upload for none

Seen by callers: an instance answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: Linux reports the error of a connection once, to whichever call asks first. When the write of the request took ECONNRESET, the read found the end of the connection, and that ends an answer without a length.

Change: at that end the state of the socket decides. If the other end has closed its direction and nothing has reset the connection (CLOSE_WAIT), the answer is whole. Otherwise the write is over or ends at once, and its error tells: EPIPE, or none, if the end came before the reset, another if not.

--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 
 	"github.com/valyala/fasthttp"
 
@@ -42,9 +41,6 @@
 	// keepAliveMargin is subtracted from the idle timeout that the other end
 	// announces, so that no request is sent while the other end closes.
 	keepAliveMargin = 500 * clock.Millisecond
-	// asyncWriteBytes is the size of a body from which the request is written by
-	// its own goroutine, so that an early answer can be read meanwhile.
-	asyncWriteBytes = 16 << 10
 )
 
 // conn is one connection of a client.
@@ -110,43 +106,19 @@
 // exchange sends r and reads its answer. It also reports whether the connection
 // may be reused.
 func (n *conn) exchange(r *Request, how reading) (guard.Answer, bool, error) {
-	wrote := make(chan error, 1)
-	if len(r.Body) < asyncWriteBytes {
-		head := appendRequest(make([]byte, 0, headBytes+len(r.Body)), r)
-		_, err := n.raw.Write(append(head, r.Body...))
-		wrote <- err
-		if err != nil && isClosedByPeer(err) {
-			// The other end may have sent an answer before it closed.
-			err = nil
-		}
-		if err != nil {
-			return guard.Answer{}, false, err
-		}
-	} else {
-		go func() {
-			bufs := net.Buffers{appendRequest(make([]byte, 0, headBytes), r), r.Body}
-			_, err := bufs.WriteTo(n.raw)
-			wrote <- err
-		}()
-	}
-	a, reusable, err := n.read(r, how)
+	sent := n.send(r)
+	a, reusable, err := n.read(r, sent, how)
 	if err != nil {
 		return a, false, err
 	}
-	select {
-	case werr := <-wrote:
-		reusable = reusable && werr == nil
-	default:
-		// The answer came before the request was written completely. The rest
-		// must not run into the next request on this connection.
-		reusable = false
-	}
-	return a, reusable, nil
+	// If the answer came before the request was written completely, the rest must
+	// not run into the next request on this connection.
+	return a, reusable && sent.isWhole(), nil
 }
 
 // read reads answers until one belongs to r. It also reports whether the
 // connection may be reused.
-func (n *conn) read(r *Request, how reading) (guard.Answer, bool, error) {
+func (n *conn) read(r *Request, sent *sending, how reading) (guard.Answer, bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	wantEcho := ""
@@ -155,7 +127,7 @@
 	}
 	reusable := true
 	for range maxMismatches {
-		body, err := n.readAnswer(resp, r.Method == fasthttp.MethodHead, how)
+		body, err := n.readAnswer(resp, r.Method == fasthttp.MethodHead, sent, how)
 		if err != nil {
 			return guard.Answer{}, false, err
 		}
@@ -172,7 +144,7 @@
 
 // readAnswer reads one final answer. It leaves the header in resp and returns
 // the body, which is empty if noBody is set.
-func (n *conn) readAnswer(resp *fasthttp.Response, noBody bool, how reading) ([]byte, error) {
+func (n *conn) readAnswer(resp *fasthttp.Response, noBody bool, sent *sending, how reading) ([]byte, error) {
 	h := &resp.Header
 	for range maxInterim {
 		resp.Reset()
@@ -197,14 +169,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if length == lengthChunked {
-		if err := h.ReadTrailer(n.br); err != nil {
-			how.hold.Shrink(cap(body))
-			return nil, unexpected(err)
-		}
-	}
-	if length == lengthUntilClose {
+	switch length {
+	case lengthChunked:
+		err = unexpected(h.ReadTrailer(n.br))
+	case lengthUntilClose:
 		h.SetConnectionClose()
+		err = n.checkEnd(sent)
+	}
+	if err != nil {
+		how.hold.Shrink(cap(body))
+		return nil, err
 	}
 	return body, nil
 }
@@ -267,9 +241,3 @@
 	}
 	return Interrupted
 }
-
-// isClosedByPeer reports whether a write failed because the other end had
-// closed the connection.
-func isClosedByPeer(err error) bool {
-	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
-}
--- a/internal/trans/sock/delivery.go
+++ b/internal/trans/sock/delivery.go
@@ -2,9 +2,6 @@
 
 import (
 	"net"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -31,22 +28,10 @@
 // ReadDelivery returns the state of the bytes sent on c. It returns false if c has no
 // TCP socket, or no open one.
 func ReadDelivery(c net.Conn) (Delivery, bool) {
-	socket, ok := c.(syscall.Conn)
+	info, ok := readInfo(c)
 	if !ok {
 		return Delivery{}, false
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return Delivery{}, false
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err != nil || infoErr != nil {
-		return Delivery{}, false
-	}
 	return Delivery{
 		IsOwed:   info.Unacked > 0 || info.Probes >= lostProbes,
 		Acked:    info.Bytes_acked,
