Take an answer with a malformed field for none

Seen by callers: an instance sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on or with a body that was not the instance's (MIXED).

Cause: the HTTP library drops blanks before a colon, keeps names with blanks, joins a line that begins with a blank or a tab with the value before it, and takes an empty line without a return for the end of the head. Where the line is the length, the body then lasts until the connection is closed.

Change: head checks each line behind the status line by the standard: a token, a colon right behind it, a value without control bytes, a return and a line feed. At most one field may tell where the body ends, and not the encoding in HTTP/1.0. The same check stands before the fields behind a body in chunks. An error of the library in a whole head is a bad answer (spoiled), as those of the check are.

--- a/internal/proto/head/error.go
+++ b/internal/proto/head/error.go
@@ -10,9 +10,14 @@
 	// StatusLine means that the first line is no status line, or that its status is
 	// none.
 	StatusLine Kind = iota
+	// Field means that a line behind it is not a name, a colon and a value.
+	Field
+	// Framing means that the end of the body is told twice, or in a way that the
+	// version does not know.
+	Framing
 )
 
-var kindNames = [...]string{"status line"}
+var kindNames = [...]string{"status line", "field", "framing"}
 
 // String returns the name of the kind.
 func (k Kind) String() string {
--- a/internal/proto/head/head.go
+++ b/internal/proto/head/head.go
@@ -13,10 +13,23 @@
 
 // Checker checks one head. The zero value is ready for use.
 type Checker struct {
-	status     int
+	status int
+	// isOld is set for a version before 1.1.
+	isOld bool
+	// isFramed is set once a field has told where the body ends.
+	isFramed bool
+	// isTrailer is set if there is no status line.
+	isTrailer  bool
 	isComplete bool
 }
 
+// Trailer returns a checker of the fields behind a body in chunks.
+func Trailer() *Checker {
+	return &Checker{
+		isTrailer: true,
+	}
+}
+
 // IsComplete reports whether the last line of the head was checked.
 func (c *Checker) IsComplete() bool { return c.isComplete }
 
@@ -47,11 +60,13 @@
 // checkLine checks one line, which is without its line feed.
 func (c *Checker) checkLine(line []byte) error {
 	isEmpty := string(line) == "\r"
+	isFirst := c.status == 0 && !c.isTrailer
 	switch {
-	case c.status != 0:
-		c.isComplete = isEmpty
-	case !isEmpty:
+	case isEmpty:
+		c.isComplete = !isFirst
+		return nil
+	case isFirst:
 		return c.checkStatusLine(line)
 	}
-	return nil
+	return c.checkField(line)
 }
--- a/internal/proto/head/head_test.go
+++ b/internal/proto/head/head_test.go
@@ -44,6 +44,10 @@
 			text:   "HTTP/1.1 599 X\r\n\r\n",
 			status: 599,
 		},
+		"fields of all kinds": {
+			text:   "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09AZaz: \t b:\t \xc3\xa9 \t\r\nX-Empty:\r\nTRANSFER-encoding:chunked\r\n\r\n",
+			status: 200,
+		},
 		"behind empty lines": {
 			text:   "\r\n\r\n" + whole,
 			status: 200,
@@ -63,6 +67,67 @@
 	}
 }
 
+// Guards against a broken line that passes, or whose error tells another cause.
+func TestBrokenHeads(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\n"
+	tests := map[string]struct {
+		text string
+		want Kind
+	}{
+		"status": {
+			text: "HTTP/1.1 000 OK\r\n",
+			want: StatusLine,
+		},
+		"name": {
+			text: first + "X A: b\r\n",
+			want: Field,
+		},
+		"length": {
+			text: first + "Content-Length : 3\r\n",
+			want: Field,
+		},
+		"value": {
+			text: first + "X-A: b\x00\r\n",
+			want: Field,
+		},
+		"length and encoding": {
+			text: first + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+			want: Framing,
+		},
+		"two lengths": {
+			text: first + "Content-Length: 3\r\ncontent-length: 3\r\n",
+			want: Framing,
+		},
+		"encoding of version 1.0": {
+			text: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+			want: Framing,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var c Checker
+			_, err := c.Check([]byte(tt.text))
+			var e *Error
+			if !errors.As(err, &e) || e.Kind != tt.want || c.IsComplete() {
+				t.Errorf("error %v, want kind %s", err, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a check that is slow beside the parsing of the library.
+func BenchmarkCheck(b *testing.B) {
+	text := []byte("HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nResponse-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
+		"Server-Load: 3,0,8,100\r\nContent-Type: application/octet-stream\r\nKeep-Alive: timeout=15\r\nContent-Length: 600\r\n\r\n")
+	b.ReportAllocs()
+	for b.Loop() {
+		var c Checker
+		if _, err := c.Check(text); err != nil || !c.IsComplete() {
+			b.Fatal(err)
+		}
+	}
+}
+
 // Guards against a check that depends on how the bytes of a head arrive.
 func TestHeadInPieces(t *testing.T) {
 	text := "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + whole + "HTTP/1.1 000 is a body here\r\n"
--- a/internal/proto/head/status.go
+++ b/internal/proto/head/status.go
@@ -25,13 +25,14 @@
 	version, rest, hasStatus := bytes.Cut(rest, []byte{' '})
 	code, reason, _ := bytes.Cut(rest, []byte{' '})
 	status, isNumber := number(code, statusDigits)
-	_, isVersion := number(version, 1)
+	minor, isVersion := number(version, 1)
 	switch {
 	case !hasReturn, !hasProtocol, !hasStatus, !isVersion, !isNumber, !isText(reason),
 		status < minStatus, status > maxStatus, status == statusSwitching:
 		return newError(StatusLine, line)
 	}
 	c.status = status
+	c.isOld = minor == 0
 	return nil
 }
 
--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -171,7 +171,7 @@
 	}
 	switch length {
 	case lengthChunked:
-		err = unexpected(h.ReadTrailer(n.br))
+		err = readTrailer(h, n.br)
 	case lengthUntilClose:
 		h.SetConnectionClose()
 		err = n.checkEnd(sent)
@@ -235,8 +235,8 @@
 		return Timeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.Is(err, errLongHead), errors.As(err, &long):
 		return TooLarge
-	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadBody), errors.As(err, &chunk),
-		errors.As(err, &broken), errors.As(err, &panicked):
+	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadHead), errors.Is(err, errBadBody),
+		errors.As(err, &chunk), errors.As(err, &broken), errors.As(err, &panicked):
 		return BadAnswer
 	}
 	return Interrupted
--- a/internal/trans/http1/head.go
+++ b/internal/trans/http1/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/valyala/fasthttp"
@@ -10,16 +11,37 @@
 	"siskinswitch.example/siskin/internal/proto/head"
 )
 
-var errLongHead = errors.New("the head is longer than the read buffer")
+var (
+	errLongHead = errors.New("the head is longer than the read buffer")
+	errBadHead  = errors.New("the head is malformed")
+)
 
-// readHead reads the head of an answer from br into h. Errors are a [*head.Error] if it
-// is malformed, errLongHead, or that of the connection.
+// readHead reads the head of an answer from br into h. Errors are a [*head.Error] or
+// errBadHead if it is malformed, errLongHead, or that of the connection.
 func readHead(h *fasthttp.ResponseHeader, br *bufio.Reader) error {
 	var c head.Checker
 	if err := checkLines(&c, br); err != nil {
 		return err
 	}
-	return h.Read(br)
+	return malformed(h.Read(br))
+}
+
+// readTrailer reads the fields behind a body in chunks from br into h. Errors are those
+// of readHead.
+func readTrailer(h *fasthttp.ResponseHeader, br *bufio.Reader) error {
+	if err := checkLines(head.Trailer(), br); err != nil {
+		return unexpected(err)
+	}
+	return malformed(h.ReadTrailer(br))
+}
+
+// malformed returns an error of the library, which found all it needs in the buffer, as
+// errBadHead.
+func malformed(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", errBadHead, err)
 }
 
 // checkLines checks with c the lines that br has next, without reading them. It waits
--- a/internal/trans/http1/head_test.go
+++ b/internal/trans/http1/head_test.go
@@ -53,6 +53,76 @@
 	})
 }
 
+// Guards against an answer with a name of a field that is none, whose line is passed on
+// or hides where the body ends (MIXED).
+func TestBrokenFieldIsNoAnswer(t *testing.T) {
+	const head = statusLine + echoLine
+	answers := map[string]string{
+		"a blank in the name of the length":         head + "Content Length: 3\r\n\r\nabc",
+		"a blank behind the name of the length":     head + "Content-Length : 3\r\n\r\nabc",
+		"a tab behind the name of the length":       head + "Content-Length\t: 3\r\n\r\nabc",
+		"a blank before the name of the length":     head + " Content-Length: 3\r\n\r\nabc",
+		"a tab before the name of the length":       head + "\tContent-Length: 3\r\n\r\nabc",
+		"a blank before the length, behind a field": head + "X-A: b\r\n Content-Length: 3\r\n\r\nabcdef",
+		"a tab before the length, behind a field":   head + "X-A: b\r\n\tContent-Length: 3\r\n\r\nabcdef",
+		"a blank before the first name":             statusLine + " X-A: b\r\n" + echoLine + lengthLine + "\r\nabc",
+		"a continued value":                         head + "X-A: b\r\n c\r\n" + lengthLine + "\r\nabc",
+		"a line of blanks":                          head + "X-A: b\r\n  \r\n" + lengthLine + "\r\nabc",
+		"a blank behind the name of the encoding":   head + "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"no name":                               head + ": b\r\n" + lengthLine + "\r\nabc",
+		"a blank for a name":                    head + " : b\r\n" + lengthLine + "\r\nabc",
+		"no colon":                              head + "X-A\r\n" + lengthLine + "\r\nabc",
+		"ended by a line feed":                  head + "X-A: b\n" + lengthLine + "\r\nabc",
+		"a line feed in the name":               head + "X-\nA: b\r\n" + lengthLine + "\r\nabc",
+		"a return in the name":                  head + "X-\rA: b\r\n" + lengthLine + "\r\nabc",
+		"a return in the value":                 head + "X-A: b\rc\r\n" + lengthLine + "\r\nabc",
+		"a return at the end of the value":      head + "X-A: b\r\r\n" + lengthLine + "\r\nabc",
+		"a control byte in the value":           head + "X-A: b\x00c\r\n" + lengthLine + "\r\nabc",
+		"a deletion in the value":               head + "X-A: b\x7fc\r\n" + lengthLine + "\r\nabc",
+		"a blank in a name after an interim":    "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "X A: b\r\n" + lengthLine + "\r\nabc",
+		"a blank in a name of an interim":       "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + head + lengthLine + "\r\nabc",
+		"a blank in a name of a trailer":        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX A: b\r\n\r\n",
+		"a control byte in a name of a trailer": head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX\x01A: b\r\n\r\n",
+		"a blank before a name of a trailer":    head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-A: b\r\n X-B: c\r\n\r\n",
+		"a length and an encoding":              head + lengthLine + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"an encoding and a length":              head + "Transfer-Encoding: chunked\r\n" + lengthLine + "\r\n3\r\nabc\r\n0\r\n\r\n",
+		"an encoding of version 1.0":            "HTTP/1.0 200 OK\r\n" + echoLine + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"two lengths":                           head + lengthLine + "Content-Length: 2\r\n\r\nabc",
+		"a list of lengths":                     head + "Content-Length: 3, 2\r\n\r\nabc",
+		"a length with a sign":                  head + "Content-Length: +3\r\n\r\nabc",
+		"a negative length":                     head + "Content-Length: -2\r\n\r\nabc",
+		"an empty length":                       head + "Content-Length:\r\n\r\nabc",
+		"a length beyond all numbers":           head + "Content-Length: 18446744073709551619\r\n\r\nabc",
+		"two encodings":                         head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"another encoding":                      head + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	}
+	for b := range 256 {
+		c := byte(b)
+		if isNameByte(c) || c == ':' {
+			continue
+		}
+		name := "byte " + string("0123456789abcdef"[c>>4]) + string("0123456789abcdef"[c&15])
+		answers[name+" in a name"] = head + "X-" + string([]byte{c}) + "A: b\r\n" + lengthLine + "\r\nabc"
+		answers[name+" at the end of a name"] = head + "X-A" + string([]byte{c}) + ": b\r\n" + lengthLine + "\r\nabc"
+		answers[name+" in the name of the length"] = head + "Content-" + string([]byte{c}) + "Length: 3\r\n\r\nabc"
+	}
+	testBroken(t, answers)
+}
+
+// isNameByte reports whether the standard allows c in the name of a field.
+func isNameByte(c byte) bool {
+	switch {
+	case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
+		return true
+	}
+	for _, other := range []byte("!#$%&'*+-.^_`|~") {
+		if c == other {
+			return true
+		}
+	}
+	return false
+}
+
 // testBroken checks that none of the answers is taken for one, whether its connection
 // stays open or ends, and that the exchange ends at once.
 func testBroken(t *testing.T, answers map[string]string) {
--- a/internal/trans/pool/pool_test.go
+++ b/internal/trans/pool/pool_test.go
@@ -92,6 +92,18 @@
 			answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
 			want:   Interrupted,
 		},
+		"a blank behind the name of the length": {
+			answer: "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwhole",
+			want:   Interrupted,
+		},
+		"a blank before a name": {
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n X-B: c\r\n\r\nwhole",
+			want:   Interrupted,
+		},
+		"a length and an encoding": {
+			answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+			want:   Interrupted,
+		},
 		"another protocol that nobody asked for": {
 			answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 			want:   Interrupted,
--- a/internal/trans/source/source_test.go
+++ b/internal/trans/source/source_test.go
@@ -101,6 +101,10 @@
 			answer: "HTTP/1.1 000 OK\r\nETag: \"7\"\r\nContent-Length: 1\r\n\r\nx",
 			want:   Unreachable,
 		},
+		"a blank in the name of the length": {
+			answer: ok + "Content Length: 2\r\n\r\nxyz",
+			want:   Unreachable,
+		},
 		"Content-Length above the limit": {
 			answer: ok + "Content-Length: 1000000000\r\n\r\n",
 			hang:   true,
