--- a/internal/trans/http1/upload_test.go
+++ b/internal/trans/http1/upload_test.go
@@ -21,40 +21,6 @@
 // uploadBytes is longer than the buffers between.
 const uploadBytes = 12 << 20
 
-// startEarly starts a target that answers each request behind its head with
-// partialAnswer, pauses and then calls end.
-func startEarly(t *testing.T, pause time.Duration, end func(c *net.TCPConn, br *bufio.Reader)) string {
-	t.Helper()
-	cfg := net.ListenConfig{
-		Control: shrinkWindow,
-	}
-	l, err := cfg.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				br := bufio.NewReader(c)
-				for line := ""; line != "\r\n"; {
-					if line, err = br.ReadString('\n'); err != nil {
-						return
-					}
-				}
-				_, _ = io.WriteString(c, partialAnswer)
-				time.Sleep(pause)
-				end(c.(*net.TCPConn), br)
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against a part of an answer without a length that reaches the caller as whole,
 // since the write of the request took the error of a reset (MIXED), and against a whole
 // one that is refused because the target did not read the whole request.
@@ -65,15 +31,15 @@
 		_ = c.Close()
 	}
 	tests := map[string]struct {
-		end  func(c *net.TCPConn, br *bufio.Reader)
+		end  func(c *net.TCPConn)
 		fail bool
 	}{
 		"reset": {
-			end:  func(c *net.TCPConn, _ *bufio.Reader) { reset(c) },
+			end:  reset,
 			fail: true,
 		},
 		"closed with the request unread": {
-			end: func(c *net.TCPConn, _ *bufio.Reader) {
+			end: func(c *net.TCPConn) {
 				// The system sends a reset if there are unread bytes.
 				for sock.Peek(c) == sock.Open {
 					time.Sleep(time.Millisecond)
@@ -83,21 +49,21 @@
 			fail: true,
 		},
 		"ended, and the request is read on": {
-			end: func(c *net.TCPConn, br *bufio.Reader) {
+			end: func(c *net.TCPConn) {
 				_ = c.CloseWrite()
-				_, _ = io.Copy(io.Discard, br)
+				_, _ = io.Copy(io.Discard, c)
 				_ = c.Close()
 			},
 		},
 		"ended, and the request is not read": {
-			end: func(c *net.TCPConn, _ *bufio.Reader) {
+			end: func(c *net.TCPConn) {
 				_ = c.CloseWrite()
 				time.Sleep(100 * time.Millisecond)
 				_ = c.Close()
 			},
 		},
 		"ended, and reset at once": {
-			end: func(c *net.TCPConn, _ *bufio.Reader) {
+			end: func(c *net.TCPConn) {
 				_ = c.CloseWrite()
 				reset(c)
 			},
@@ -107,7 +73,10 @@
 		for _, pause := range []time.Duration{0, time.Millisecond, 10 * time.Millisecond} {
 			t.Run(name+", after "+pause.String(), func(t *testing.T) {
 				t.Parallel()
-				addr := startEarly(t, pause, tt.end)
+				addr := startTarget(t, partialAnswer, func(c *net.TCPConn) {
+					time.Sleep(pause)
+					tt.end(c)
+				})
 				r := echoRequest()
 				r.Method = "POST"
 				r.Body = make([]byte, uploadBytes)
