End an exchange at once whose write failed on an open connection

Cause: let the read of the answer end an exchange whose write has failed. That is right only if the failure ends the connection too; after one that does not, such as a lack of buffers, the read waits for the deadline. Kinds of errors that no read of the client returns any more, since the heads are complete before the library reads them, are gone from kindOf. Result: TestFutileWriteEndsTheExchange, red on the code before (still waiting after 5 s), green now.

--- a/internal/trans/http1/conn.go
+++ b/internal/trans/http1/conn.go
@@ -107,6 +107,9 @@
 // may be reused.
 func (n *conn) exchange(r *Request, how reading) (guard.Answer, bool, error) {
 	sent := n.send(r)
+	if sent.isFutile() {
+		return guard.Answer{}, false, sent.err
+	}
 	a, reusable, err := n.read(r, sent, how)
 	if err != nil {
 		return a, false, err
@@ -116,8 +119,8 @@
 	return a, reusable && sent.isWhole(), nil
 }
 
-// read reads answers until one belongs to r. It also reports whether the
-// connection may be reused.
+// read reads answers until one belongs to r, which sent writes. It also reports
+// whether the connection may be reused.
 func (n *conn) read(r *Request, sent *sending, how reading) (guard.Answer, bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
@@ -142,8 +145,8 @@
 	return guard.Answer{}, false, errMismatched
 }
 
-// readAnswer reads one final answer. It leaves the header in resp and returns
-// the body, which is empty if noBody is set.
+// readAnswer reads one final answer to the request that sent writes. It leaves the
+// header in resp and returns the body, which is empty if noBody is set.
 func (n *conn) readAnswer(resp *fasthttp.Response, noBody bool, sent *sending, how reading) ([]byte, error) {
 	h := &resp.Header
 	for range maxInterim {
@@ -226,17 +229,15 @@
 func (n *conn) close() { _ = n.raw.Close() }
 
 func kindOf(err error) Kind {
-	var chunk fasthttp.ErrBrokenChunk
-	var long *fasthttp.ErrSmallBuffer
 	var broken *head.Error
 	var panicked *rescue.Error
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, errSilent):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errSilent):
 		return Timeout
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.Is(err, errLongHead), errors.As(err, &long):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errNoMemory), errors.Is(err, errLongHead):
 		return TooLarge
 	case errors.Is(err, errMismatched), errors.Is(err, errInterim), errors.Is(err, errBadHead), errors.Is(err, errBadBody),
-		errors.As(err, &chunk), errors.As(err, &broken), errors.As(err, &panicked):
+		errors.As(err, &broken), errors.As(err, &panicked):
 		return BadAnswer
 	}
 	return Interrupted
--- a/internal/trans/http1/message.go
+++ b/internal/trans/http1/message.go
@@ -7,9 +7,11 @@
 //
 //   - a client that disconnects while its request runs, even with further
 //     pipelined requests behind it;
+//   - an answer with a malformed head;
 //   - bytes after a complete answer;
 //   - an answer that belongs to another request;
-//   - an answer without a length on a connection that is reset;
+//   - an answer without a length on a connection that is reset, also while the
+//     request is still being written;
 //   - a target that answers before it has read the whole request.
 //
 // Both ends buffer whole messages. An answer is passed on only when it is
--- a/internal/trans/http1/sending.go
+++ b/internal/trans/http1/sending.go
@@ -17,8 +17,7 @@
 // connection is closed, in another way.
 var errBroken = errors.New("the connection broke within an answer without a length")
 
-// sending is the write of a request, which may go on while the answer is read. A write
-// that fails does not end the exchange: the answer may have come before.
+// sending is the write of a request, which may go on while the answer is read.
 type sending struct {
 	// done is closed at the end of the write. err is its error, valid from then on.
 	done chan struct{}
@@ -44,16 +43,25 @@
 	return s
 }
 
-// isWhole reports whether the whole request has been written by now.
-func (s *sending) isWhole() bool {
+// isOver reports whether the write has ended by now.
+func (s *sending) isOver() bool {
 	select {
 	case <-s.done:
-		return s.err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// isWhole reports whether the whole request has been written by now.
+func (s *sending) isWhole() bool { return s.isOver() && s.err == nil }
+
+// isFutile reports whether the write has failed by now, for another reason than that
+// the other end has closed the connection. It may have sent an answer before it did.
+func (s *sending) isFutile() bool {
+	return s.isOver() && s.err != nil && !errors.Is(s.err, syscall.EPIPE) && !errors.Is(s.err, syscall.ECONNRESET)
+}
+
 // wait waits for the end of the write and returns its error.
 func (s *sending) wait() error {
 	<-s.done
--- a/internal/trans/http1/upload_test.go
+++ b/internal/trans/http1/upload_test.go
@@ -162,3 +162,32 @@
 		}
 	}
 }
+
+// Guards against an exchange that waits for an answer to a request of which the write has
+// failed while the connection stays open.
+func TestFutileWriteEndsTheExchange(t *testing.T) {
+	silent, _ := io.Pipe()
+	raw := &scriptedConn{
+		text:     bufio.NewReader(silent),
+		writeErr: syscall.ENOBUFS,
+	}
+	n := &conn{
+		raw: raw,
+		br:  bufio.NewReader(raw),
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := n.exchange(echoRequest(), reading{
+			header: readHead,
+		})
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, syscall.ENOBUFS) {
+			t.Errorf("error %v, want that of the write", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the exchange still waits after 5 s")
+	}
+}
