Take an answer of an unknown minor version for none

Cause: the HTTP library knows chunks in HTTP/1.1 only and ignores the encoding in any other version; the check of heads refused that for HTTP/1.0 alone. An answer of HTTP/1.2 in chunks reached the caller with their framing as its body. Change: the status line must name version 1.0 or 1.1. FuzzHead compares what the client takes for an answer with what Go's own library makes of the same bytes, and finds such differences by itself. The row of TestBrokenStatusIsNoAnswer was red before.

--- a/internal/proto/head/status.go
+++ b/internal/proto/head/status.go
@@ -13,7 +13,9 @@
 
 const (
 	// protocol begins each status line; the minor version follows.
-	protocol     = "HTTP/1."
+	protocol = "HTTP/1."
+	// maxMinor is the last minor version that there is.
+	maxMinor     = 1
 	statusDigits = 3
 )
 
@@ -28,7 +30,7 @@
 	minor, isVersion := number(version, 1)
 	switch {
 	case !hasReturn, !hasProtocol, !hasStatus, !isVersion, !isNumber, !isText(reason),
-		status < minStatus, status > maxStatus, status == statusSwitching:
+		minor > maxMinor, status < minStatus, status > maxStatus, status == statusSwitching:
 		return newError(StatusLine, line)
 	}
 	c.status = status
--- a/internal/trans/http1/head_test.go
+++ b/internal/trans/http1/head_test.go
@@ -44,6 +44,7 @@
 		"000 after an interim":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK" + rest,
 		"000 after another's":     "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nContent-Length: 0\r\n\r\nHTTP/1.1 000 OK" + rest,
 		"another version":         "HTTP/2.0 200 OK" + rest,
+		"version 1.2":             "HTTP/1.2 200 OK\r\n" + echoLine + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 		"version 0.9":             "HTTP/0.9 200 OK" + rest,
 		"another protocol":        "HTTQ/1.1 200 OK" + rest,
 		"a blank before":          " HTTP/1.1 200 OK" + rest,
