Give back the buffer of a caller's connection when it ends

Cause: a connection that ends is closed for writing and for good one second later. The timer for that kept the whole session with its read buffer of 17 KB, although the connection had long ended. Endless heads are refused fast, callers try again at once on new connections, and thousands of ended ones held their buffers.

Change: the timer refers to the socket only and is stopped at the end of the connection, and the buffer is dropped before the wait for the client's close.

Result: TestEndedConnectionsHoldNoBuffers, red before (19.6 MB for 1,000 ended connections in each of three rows), green.

--- a/internal/trans/http1/reply.go
+++ b/internal/trans/http1/reply.go
@@ -110,15 +110,19 @@
 		_ = w.CloseWrite()
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime.Duration()))
-	c.lingers.Store(true)
-	// The reader may be about to set a later deadline.
-	time.AfterFunc(lingerTime.Duration(), func() { _ = c.raw.Close() })
+	// The reader may be about to set a later deadline. The timer must not keep the
+	// session with its buffer.
+	raw := c.raw
+	c.lingerEnd = time.AfterFunc(lingerTime.Duration(), func() { _ = raw.Close() })
 }
 
 // discardInput reads, for lingerTime at most, what the client still sends on a
-// connection that was closed gracefully.
+// connection that was closed gracefully. Nothing is read from br any more.
 func (c *session) discardInput() {
-	if c.lingers.Load() {
-		_, _ = io.Copy(io.Discard, c.raw)
+	if c.lingerEnd == nil {
+		return
 	}
+	c.br = nil
+	_, _ = io.Copy(io.Discard, c.raw)
+	c.lingerEnd.Stop()
 }
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -43,8 +43,9 @@
 	// one of which the first byte has arrived, or waits for the disconnect.
 	mu     sync.Mutex
 	isBusy bool
-	// lingers is set when the connection was closed for writing only.
-	lingers atomic.Bool
+	// lingerEnd closes a connection that was closed for writing only; nil for others.
+	// It is valid once writerDone is closed.
+	lingerEnd *time.Timer
 	// writerDone is closed when nothing more will be written.
 	writerDone chan struct{}
 }
