--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -77,6 +77,8 @@
 	// the daemon has no configuration yet or is stopping, or no route matches.
 	EndNotReady = "unready"
 	EndNoRoute  = "unrouted"
+	// EndDenied means that the request has no key of a client account.
+	EndDenied = "denied"
 )
 
 // All returns the catalogue in the order of numbers.
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -47,6 +47,10 @@
 	Caller string
 	// Instance is the id of the target that answered.
 	Instance string
+	// Key is the caller's key, which names its client account.
+	Key string
+	// Account is the name of the client account that a request belongs to.
+	Account string
 }
 
 // Hop describes a request to the inbound side of the target's daemon.
--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 
+	"siskinswitch.example/siskin/internal/state/acct"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -23,6 +24,8 @@
 	Hosts map[string][]Route
 	// Services maps the name of a service to its properties.
 	Services map[string]Service
+	// Accounts are the client accounts and their keys.
+	Accounts acct.Accounts
 }
 
 // Limits bounds the requests and connections of callers.
@@ -61,6 +64,9 @@
 	LatencyGoal clock.Milli
 	// Priority orders routes by importance; 0 is the most important.
 	Priority int
+	// Public says that callers need no key, also where client accounts are in
+	// force.
+	Public bool
 }
 
 // WeightedService is one of the services of a route and its share of the
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -124,7 +124,8 @@
 // Handle answers one request of a caller.
 func (o *Outbound) Handle(ctx context.Context, r *http1.Request) http1.Reply {
 	id := r.Get(o.cfg.Headers.ID)
-	if o.local.Parent(id) == nil {
+	parent := o.local.Parent(id)
+	if parent == nil {
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
 	}
@@ -138,7 +139,12 @@
 		const reason = "no route"
 		return o.answerDirectly(r, v, event.EndNoRoute, reason, o.cfg.plainAnswer(id, fasthttp.StatusNotFound, reason))
 	}
-	c := o.newCall(r, id, route, v)
+	who, denied := o.identify(r, id, route, v, parent)
+	if denied != nil {
+		return o.answerDirectly(r, v, denied.end, denied.reason, denied.answer)
+	}
+	r.Fields = o.setIdentity(r.Fields, v, who)
+	c := o.newCall(r, id, route, v, parent, who)
 	if end := clock.Milli(o.stopTime.Load()); end > 0 && c.deadline > end {
 		const reason = "the daemon stops"
 		reply := o.answerDirectly(r, v, event.EndNotReady, reason, o.cfg.refusal(id, reason, closingRetryAfter))
@@ -231,7 +237,7 @@
 	retryAfter clock.Milli
 }
 
-func (o *Outbound) newCall(r *http1.Request, id string, route *model.Route, v *model.View) *call {
+func (o *Outbound) newCall(r *http1.Request, id string, route *model.Route, v *model.View, parent *Parent, who identity) *call {
 	left := timeLeft(r, o.cfg.Headers.Deadline)
 	if route.Timeout > 0 {
 		left = min(left, route.Timeout)
@@ -242,17 +248,16 @@
 		route:      route,
 		view:       v,
 		service:    o.chooseService(route),
-		importance: importanceOf(route.Priority),
+		importance: importanceOf(priorityOf(route, who)),
 		root:       xxhash.Sum64String(id),
 		deadline:   r.Arrived + left,
 	}
-	r.Fields = http1.WithField(r.Fields, o.cfg.Headers.Caller, o.cfg.Self.Service)
-	if p := o.local.Parent(id); p != nil {
-		c.parent = p
-		c.importance = p.Importance
-		c.root = p.Root
-		c.depth = p.Depth + 1
-		o.graph.add(o.cfg.Clock.Now(), p.Path, edge{
+	if parent != nil {
+		c.parent = parent
+		c.importance = parent.Importance
+		c.root = parent.Root
+		c.depth = parent.Depth + 1
+		o.graph.add(o.cfg.Clock.Now(), parent.Path, edge{
 			service: c.service,
 			path:    route.Name,
 		})
@@ -260,6 +265,15 @@
 	return c
 }
 
+// priorityOf returns the priority of a request on a route, which its account may
+// replace.
+func priorityOf(route *model.Route, who identity) int {
+	if who.account != nil && who.account.HasPriority {
+		return who.account.Priority
+	}
+	return route.Priority
+}
+
 // chooseService chooses one of the services of a weighted route. A
 // low-discrepancy sequence with a random start spreads the requests, so that
 // the weights hold over short times too.
--- a/internal/trans/flow/parent.go
+++ b/internal/trans/flow/parent.go
@@ -18,18 +18,21 @@
 	// Repeat reports that the request is a retry, or a call made by one. Its own
 	// calls count as retries too.
 	Repeat bool
+	// Account is the name of the client account, "" if there is none.
+	Account string
 	// callFailed is set when one of its calls failed.
 	callFailed atomic.Bool
 }
 
 // addRunning records that a request is in progress at the target.
-func (n *Inbound) addRunning(id string, hop peer.Hop) *Parent {
+func (n *Inbound) addRunning(id, account string, hop peer.Hop) *Parent {
 	p := &Parent{
 		Path:       hop.Path,
 		Importance: hop.Importance,
 		Root:       hop.RootHash,
 		Depth:      hop.Depth,
 		Repeat:     hop.Repeat,
+		Account:    account,
 	}
 	n.runningMu.Lock()
 	defer n.runningMu.Unlock()
@@ -43,6 +46,9 @@
 	delete(n.running, id)
 }
 
+// isCallID reports whether an id has the form of a call's.
+func isCallID(id string) bool { return strings.LastIndexByte(id, '.') >= 0 }
+
 // Parent returns the request in progress that made the call with the id, or nil
 // if there is none. A target derives the id of a call from the id of the
 // request that it runs by appending a dot and another part. Targets may break
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -24,7 +24,7 @@
 	if hop.Key != "" {
 		o.MaxIdle = atMostOnceMaxIdle
 	}
-	run := n.addRunning(r.Get(h.ID), hop)
+	run := n.addRunning(r.Get(h.ID), r.Get(h.Account), hop)
 	a, err := n.targetClient.Do(ctx, n.cfg.Self.TargetAddr, &out, o)
 	n.removeRunning(r.Get(h.ID))
 	a, fb := n.classify(r, a, err)
