Refuse keys while the configuration cannot be proven to be the newest

Cause: a daemon that could not read the store let withdrawn keys in without end.

Change: each daemon keeps the age of its last proof that its configuration is the newest, on a clock that goes on while the host is suspended. A proof is the instant at which a read of the store was sent, or at which another daemon was asked whose answer carries its own proof of the same version, less the age of that. An unknown key gets 503 in place of 401 while another daemon knows a newer change.

--- a/internal/coord/watch/follower.go
+++ b/internal/coord/watch/follower.go
@@ -51,6 +51,9 @@
 	More bool
 	// Revision is the store's revision as of the read.
 	Revision int64
+	// SentAt is when the read was sent, on the clock of the source. Nothing that the
+	// store acknowledged before is missing from the page.
+	SentAt clock.Milli
 }
 
 // Kind classifies an [Error].
@@ -131,6 +134,9 @@
 	// Answered is called for each complete list and each watch that the store
 	// answered.
 	Answered func(now clock.Milli)
+	// Proved is called after Listed or Changed with Page.SentAt: all that the store
+	// acknowledged before that instant is known now. nil ignores it.
+	Proved func(sentAt clock.Milli)
 	// OutageBegan is called with the error of the first failed read,
 	// OutageEnded once the store has been listed again.
 	OutageBegan func(err error)
@@ -170,6 +176,9 @@
 	if cfg.Repeated == nil {
 		cfg.Repeated = func(Repeat) {}
 	}
+	if cfg.Proved == nil {
+		cfg.Proved = func(clock.Milli) {}
+	}
 	return &Follower{
 		cfg:     cfg,
 		backoff: cfg.Timing.MinBackoff,
@@ -198,6 +207,7 @@
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	var items []Item
 	revision := int64(-1)
+	sentAt := clock.Milli(0)
 	after := ""
 	for {
 		page, err := f.read(ctx, List, func(ctx context.Context, number int) (Page, error) {
@@ -212,6 +222,7 @@
 		}
 		if revision < 0 {
 			revision = page.Revision
+			sentAt = page.SentAt
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -225,6 +236,7 @@
 	f.answeredAt = now
 	f.cfg.Answered(now)
 	f.cfg.Listed(now, items, mayLack)
+	f.cfg.Proved(sentAt)
 	f.recordSuccess()
 	return revision, nil
 }
@@ -255,6 +267,9 @@
 	f.cfg.Answered(now)
 	if len(page.Items) > 0 {
 		f.cfg.Changed(now, page.Items)
+	}
+	f.cfg.Proved(page.SentAt)
+	if len(page.Items) > 0 {
 		select {
 		case <-ctx.Done():
 		case <-f.cfg.Clock.After(f.cfg.Timing.Batch):
--- a/internal/coord/watch/heard.go
+++ b/internal/coord/watch/heard.go
@@ -20,6 +20,20 @@
 	f.heard = revision
 }
 
+// Revision returns the revision of the store as of the last read, 0 before it.
+func (f *Follower) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// IsBehind reports whether another daemon knows a change that was not read here.
+func (f *Follower) IsBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isBehind()
+}
+
 // isBehind reports whether another daemon knows a change that was not read here.
 // f.mu must be held.
 func (f *Follower) isBehind() bool { return f.heard > f.revision }
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -40,6 +40,8 @@
 	StoreUp          = Event{Number: 206, Text: "store can be read again"}
 	ReadUnanswered   = Event{Number: 208, Text: "read of the store went unanswered"}
 	ReadRepeated     = Event{Number: 209, Text: "unanswered read of the store is sent again"}
+	KeysRefused      = Event{Number: 210, Text: "keys are refused because the configuration may be outdated"}
+	KeysAccepted     = Event{Number: 211, Text: "keys are accepted again"}
 	MemberChanged    = Event{Number: 300, Text: "member changed state"}
 	TargetLeaving    = Event{Number: 301, Text: "target is leaving"}
 	Resumed          = Event{Number: 302, Text: "daemon was paused"}
@@ -79,6 +81,9 @@
 	EndNoRoute  = "unrouted"
 	// EndDenied means that the request has no key of a client account.
 	EndDenied = "denied"
+	// EndStale means that the key of the request could not be judged, because the
+	// configuration may be outdated.
+	EndStale = "stale"
 )
 
 // All returns the catalogue in the order of numbers.
@@ -105,6 +110,8 @@
 		StoreUp,
 		ReadUnanswered,
 		ReadRepeated,
+		KeysRefused,
+		KeysAccepted,
 		MemberChanged,
 		TargetLeaving,
 		Resumed,
--- a/internal/proto/peer/peer_test.go
+++ b/internal/proto/peer/peer_test.go
@@ -130,3 +130,20 @@
 		}
 	})
 }
+
+// Guards against a proof of another daemon that is taken for younger than it is, or
+// for one of another version.
+func TestParseFresh(t *testing.T) {
+	want := Fresh{
+		Version: 1 << 40,
+		Age:     1234,
+	}
+	if got, err := ParseFresh(want.String()); err != nil || got != want {
+		t.Errorf("got %+v and %v, want %+v", got, err, want)
+	}
+	for _, s := range []string{"", "1", "1,", ",1", "1,-1", "-1,1", "1,1,1", "1;1", "zzzzzzzzzzzzzzzzzzzz,1"} {
+		if got, err := ParseFresh(s); err == nil {
+			t.Errorf("%q is read as %+v", s, got)
+		}
+	}
+}
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -88,6 +88,7 @@
 	viewTracker *viewTracker
 	follower    *watch.Follower
 	store       *storeClient
+	freshness   *freshness
 	// incarnation identifies this run of the daemon.
 	incarnation uint64
 	inbound     *flow.Inbound
@@ -134,6 +135,7 @@
 	d.viewTracker = newViewTracker(log, d.applyView)
 	d.viewTracker.onPanic = d.contain
 	d.viewTracker.onUnreadable = func(kind string) { d.meter.count("records_unreadable", "kind", kind) }
+	d.freshness = d.newFreshness()
 	d.follower = d.newFollower()
 	cfg := flow.Config{
 		Clock:   c,
@@ -150,6 +152,10 @@
 		View:        d.viewTracker.view.Load,
 		Seen:        d.follower.Seen,
 		OnSeen:      d.follower.Hear,
+		Proof:       d.freshness.proof,
+		OnProof:     d.freshness.onProof,
+		IsTrusted:   d.freshness.isTrusted,
+		IsBehind:    d.follower.IsBehind,
 		Log:         log,
 		Metrics:     d.meter.flowMetrics(),
 		OnPanic:     d.contain,
@@ -356,6 +362,7 @@
 func (d *Daemon) tickOnce(now clock.Milli, isGaugeTime bool) {
 	d.viewTracker.expireTargets(now)
 	d.follower.Tick()
+	d.freshness.tick(now)
 	d.store.client.Sweep()
 	d.inbound.Tick()
 	d.outbound.Tick()
@@ -371,6 +378,10 @@
 		age = now - clock.Milli(answeredAt)
 	}
 	d.meter.gauges(d.inbound.Stats(), d.viewTracker.view.Load(), age)
+	if d.freshness.isNeeded() {
+		proofAge, _ := d.freshness.Age(d.clock.Boot())
+		d.meter.proofAge(proofAge)
+	}
 	d.meter.memory("requests", d.requests.Stats())
 	d.meter.memory("answers", d.answers.Stats())
 }
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -43,8 +43,15 @@
 			d.run("apply changes of the store", func() { d.viewTracker.applyChanges(now, items) })
 		},
 		Answered:     func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
-		OutageBegan:  func(err error) { event.Warn(d.log, event.StoreDown, zap.Error(err)) },
-		OutageEnded:  func() { event.Info(d.log, event.StoreUp) },
+		Proved:       d.prove,
+		OutageBegan: func(err error) {
+			d.freshness.isAway.Store(true)
+			event.Warn(d.log, event.StoreDown, zap.Error(err))
+		},
+		OutageEnded: func() {
+			d.freshness.isAway.Store(false)
+			event.Info(d.log, event.StoreUp)
+		},
 		AttemptEnded: d.readEnded,
 		Repeated:     d.readRepeated,
 	})
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -160,3 +160,8 @@
 	// Serve returns when the daemon closes its listener.
 	_ = server.Serve(l)
 }
+
+// proofAge sets the gauge of the age of the proof that the configuration is the newest.
+func (m *meter) proofAge(age clock.Milli) {
+	m.scope.Gauge("config_proof_age_ms").Update(float64(age))
+}
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -45,6 +45,7 @@
 	m.count("store_reads", "outcome", "list_failed")
 	m.count("records_unreadable", "kind", "target")
 	m.count("malformed", "status", "400")
+	m.proofAge(clock.Second)
 	m.memory("answers", hold.Stats{})
 	m.gauges(admit.Stats{}, &model.View{}, unknownAge)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -52,6 +52,10 @@
 	// the kill.
 	Drain float64 `json:"drain"`
 	Grace float64 `json:"grace"`
+	// Revoke is the time in milliseconds after which a key that was withdrawn must be
+	// refused by every daemon, also by one that cannot read the store; 0 means that
+	// such a daemon goes on with the keys that it knows.
+	Revoke float64 `json:"revoke"`
 	// Ratio, Window and Slack define the retry budget of a service over all
 	// daemons: in Window seconds, extra attempts may reach the share Ratio of
 	// its requests plus Slack.
@@ -189,6 +193,11 @@
 			value: s.Report,
 			most:  maxMillis,
 		},
+		{
+			name:  "revoke",
+			value: s.Revoke,
+			most:  maxMillis,
+		},
 		{
 			name:  "ratio",
 			value: s.Ratio,
@@ -231,6 +240,8 @@
 
 func (s *Settings) reportTime() clock.Milli { return clock.Milli(s.Report) }
 
+func (s *Settings) revokeTime() clock.Milli { return clock.Milli(s.Revoke) }
+
 func (s *Settings) graceTime() clock.Milli { return ofSeconds(s.Grace) }
 
 func (s *Settings) windowTime() clock.Milli { return ofSeconds(s.Window) }
--- a/internal/proxy/store.go
+++ b/internal/proxy/store.go
@@ -31,7 +31,9 @@
 	// watchMargin is how much longer than requested a watch may take before the
 	// store counts as unreachable.
 	watchMargin clock.Milli
-	client      *http1.Client
+	// boot reads the clock of [watch.Page.SentAt].
+	boot   func() clock.Milli
+	client *http1.Client
 }
 
 // storeRead is one attempt at a read.
@@ -48,6 +50,7 @@
 	return &storeClient{
 		addr:        addr,
 		watchMargin: timing.MaxRepeat,
+		boot:        c.Boot,
 		client: http1.NewClient(http1.ClientConfig{
 			Clock:       c,
 			DialTimeout: storeDialTimeout,
@@ -67,6 +70,7 @@
 
 func (s *storeClient) list(ctx context.Context, r watch.ListRequest) (watch.Page, error) {
 	op := "list " + r.Prefix
+	sentAt := s.boot()
 	a, err := s.get(ctx, storeRead{
 		op:    op,
 		uri:   platform.RangeURI(r.Prefix, r.After),
@@ -76,11 +80,12 @@
 	if err != nil {
 		return watch.Page{}, err
 	}
-	return decodePage(op, a, platform.DecodeRange)
+	return decodePage(op, a, sentAt, platform.DecodeRange)
 }
 
 func (s *storeClient) watch(ctx context.Context, r watch.ChangesRequest) (watch.Page, error) {
 	op := "watch " + r.Prefix
+	sentAt := s.boot()
 	a, err := s.get(ctx, storeRead{
 		op:    op,
 		uri:   platform.WatchURI(r.Prefix, r.After, r.Wait),
@@ -90,12 +95,12 @@
 	if err != nil {
 		return watch.Page{}, err
 	}
-	return decodePage(op, a, platform.DecodeWatch)
+	return decodePage(op, a, sentAt, platform.DecodeWatch)
 }
 
 // decodePage decodes the body of an answer. A body that can't be decoded is
 // reported as if the store had not answered.
-func decodePage(op string, a guard.Answer, decode func([]byte) (watch.Page, error)) (watch.Page, error) {
+func decodePage(op string, a guard.Answer, sentAt clock.Milli, decode func([]byte) (watch.Page, error)) (watch.Page, error) {
 	var page watch.Page
 	var err error
 	if panicked := rescue.Run("decode an answer of the store", func() { page, err = decode(a.Body) }); panicked != nil {
@@ -108,6 +113,7 @@
 			Err:  err,
 		}
 	}
+	page.SentAt = sentAt
 	return page, nil
 }
 
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -31,6 +31,10 @@
 	decodeTarget func(key string, value []byte) (model.Target, error)
 	decodeConfig func(value []byte) (*model.Config, error)
 
+	// unreadConfig is the revision of the newest configuration that could not be
+	// read, 0 if a newer one was read since. mu guards it.
+	unreadConfig int64
+
 	// mu serializes updates and the calls of onUpdate.
 	mu   sync.Mutex
 	view atomic.Pointer[model.View]
@@ -100,9 +104,22 @@
 	})
 }
 
+// applyConfig adopts a newer configuration among items and leaves the targets as they
+// are.
+func (vt *viewTracker) applyConfig(items []watch.Item) {
+	vt.update(func(v *model.View) { v.Config = vt.newestConfig(v.Config, items) })
+}
+
+// isConfigKnown reports whether the newest configuration that was seen could be read.
+func (vt *viewTracker) isConfigKnown() bool {
+	vt.mu.Lock()
+	defer vt.mu.Unlock()
+	return vt.unreadConfig == 0
+}
+
 // newestConfig returns the configuration with the highest version among items
 // and present, which may be nil. A configuration that can't be decoded is
-// logged and ignored.
+// logged and ignored. vt.mu must be held.
 func (vt *viewTracker) newestConfig(current *model.Config, items []watch.Item) *model.Config {
 	for _, item := range items {
 		if item.Key != platform.ConfigKey || item.Removed {
@@ -110,10 +127,14 @@
 		}
 		c, err := vt.config(item)
 		if err != nil {
+			vt.unreadConfig = max(vt.unreadConfig, item.Revision)
 			vt.onUnreadable("config")
 			event.Warn(vt.log, event.ConfigRefused, zap.Int64("revision", item.Revision), zap.Error(err))
 			continue
 		}
+		if item.Revision > vt.unreadConfig {
+			vt.unreadConfig = 0
+		}
 		if current != nil && c.Version <= current.Version {
 			continue
 		}
--- a/internal/trans/flow/account.go
+++ b/internal/trans/flow/account.go
@@ -8,8 +8,13 @@
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/trans/http1"
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
+// staleRetryAfter is the Retry-After of requests whose key cannot be judged, because
+// the configuration may be outdated.
+const staleRetryAfter = 500 * clock.Millisecond
+
 // identity is the client account of a request.
 type identity struct {
 	// account is nil if the request belongs to none.
@@ -42,6 +47,9 @@
 	case route.Public:
 		return identity{}, nil
 	}
+	if !o.cfg.IsTrusted() {
+		return identity{}, o.stale(id, "the keys known here may be outdated")
+	}
 	key := singleValue(r.Fields, o.cfg.Headers.Key)
 	account, ok := accounts.ByKey(key)
 	if !ok && key == "" && isCallID(id) {
@@ -54,6 +62,9 @@
 			answer: o.cfg.refusal(id, reason, minRetryAfter),
 		}
 	}
+	if !ok && key != "" && o.cfg.IsBehind() {
+		return identity{}, o.stale(id, "unknown key, and a newer configuration may have it")
+	}
 	if !ok {
 		return identity{}, &denial{
 			end:    event.EndDenied,
@@ -66,6 +77,15 @@
 	}, nil
 }
 
+// stale returns the denial of a request whose key cannot be judged now.
+func (o *Outbound) stale(id, reason string) *denial {
+	return &denial{
+		end:    event.EndStale,
+		reason: reason,
+		answer: o.cfg.refusal(id, reason, staleRetryAfter),
+	}
+}
+
 // singleValue returns the value of the only field with the name, "" if there is none
 // or more than one. Of several keys none counts, because their order could be changed
 // on the way.
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -80,10 +80,20 @@
 	View func() *model.View
 	// Seen returns the revision of the newest change of the store that this
 	// daemon knows, 0 if none. OnSeen is called with that of another daemon.
-	Seen    func() int64
-	OnSeen  func(revision int64)
-	Log     *zap.Logger
-	Metrics Metrics
+	Seen   func() int64
+	OnSeen func(revision int64)
+	// Proof returns this daemon's proof that its configuration is the newest, and
+	// false if there is none or none is needed. OnProof is called with that of
+	// another daemon and the instant, on Clock.Boot, at which it was asked for. Both
+	// are optional, as are the next two.
+	Proof   func() (peer.Fresh, bool)
+	OnProof func(f peer.Fresh, askedAt clock.Milli)
+	// IsTrusted reports whether keys may be let in, see [acct.Freshness], and IsBehind
+	// whether another daemon knows a change that this one does not.
+	IsTrusted func() bool
+	IsBehind  func() bool
+	Log       *zap.Logger
+	Metrics   Metrics
 	// OnPanic is called with a panic that cost one exchange; nil ignores them.
 	OnPanic func(*rescue.Error)
 	// Seed makes random choices reproducible.
@@ -100,6 +110,23 @@
 	DrainTime clock.Milli
 }
 
+// withDefaults returns c with the optional functions set.
+func (c Config) withDefaults() Config {
+	if c.Proof == nil {
+		c.Proof = func() (peer.Fresh, bool) { return peer.Fresh{}, false }
+	}
+	if c.OnProof == nil {
+		c.OnProof = func(peer.Fresh, clock.Milli) {}
+	}
+	if c.IsTrusted == nil {
+		c.IsTrusted = func() bool { return true }
+	}
+	if c.IsBehind == nil {
+		c.IsBehind = func() bool { return false }
+	}
+	return c
+}
+
 const (
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 64 << 20
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -85,6 +85,7 @@
 
 // NewInbound returns an inbound side that accepts requests.
 func NewInbound(cfg Config) *Inbound {
+	cfg = cfg.withDefaults()
 	return &Inbound{
 		cfg:                 cfg,
 		running:             make(map[string]*Parent),
@@ -130,7 +131,7 @@
 }
 
 func (n *Inbound) reply(a guard.Answer, fb peer.Feedback) http1.Reply {
-	a.Fields = n.cfg.withSeen(http1.WithField(a.Fields, peer.HeaderFeedback, fb.String()))
+	a.Fields = n.cfg.withProof(n.cfg.withSeen(http1.WithField(a.Fields, peer.HeaderFeedback, fb.String())))
 	if fb.Ends > 0 {
 		a.Fields = http1.WithField(a.Fields, peer.HeaderEnds, peer.FormatEnds(fb.Ends))
 	}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -64,6 +64,7 @@
 // NewOutbound returns an outbound side. Requests for the target of its own host
 // go to local without a network connection.
 func NewOutbound(cfg Config, local *Inbound) *Outbound {
+	cfg = cfg.withDefaults()
 	o := &Outbound{
 		cfg:   cfg,
 		graph: newCallGraph(),
--- a/internal/trans/flow/seen.go
+++ b/internal/trans/flow/seen.go
@@ -33,6 +33,42 @@
 	return left, http1.WithoutField(fields, peer.HeaderEnds)
 }
 
+// withProof returns fields with this daemon's proof that its configuration is the
+// newest, if it has one.
+func (c *Config) withProof(fields []guard.Field) []guard.Field {
+	f, ok := c.Proof()
+	if !ok {
+		return fields
+	}
+	return http1.WithField(fields, peer.HeaderFresh, f.String())
+}
+
+// askProof returns the instant from which the age of a proof in an answer counts. It
+// must be called before the request is sent.
+func (c *Config) askProof() clock.Milli {
+	if _, ok := c.Proof(); !ok {
+		return 0
+	}
+	return c.Clock.Boot()
+}
+
+// takeProof reports the proof in the fields of an answer of another daemon, which was
+// asked for at an instant, and returns the fields without it.
+func (c *Config) takeProof(askedAt clock.Milli, fields []guard.Field) []guard.Field {
+	value := http1.Get(fields, peer.HeaderFresh)
+	if value == "" {
+		return fields
+	}
+	f, err := peer.ParseFresh(value)
+	switch {
+	case err != nil:
+		event.Warn(c.Log, event.Malformed, zap.Error(err))
+	case askedAt > 0:
+		c.OnProof(f, askedAt)
+	}
+	return http1.WithoutField(fields, peer.HeaderFresh)
+}
+
 // takeSeen reports the revision in the fields of a message of another daemon and
 // returns the fields without it.
 func (c *Config) takeSeen(fields []guard.Field) []guard.Field {
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Units of [Milli] durations.
@@ -39,6 +41,10 @@
 type Clock struct {
 	// Now returns the current instant of the host's monotonic clock.
 	Now func() Milli
+	// Boot returns the current instant of a clock that also goes on while the host or
+	// the process is suspended, unlike that of Now. Its instants are not comparable
+	// with those of Now.
+	Boot func() Milli
 	// Wall returns the time of the host's wall clock, in milliseconds since the
 	// Unix epoch. It is only for records that people read.
 	Wall func() Milli
@@ -51,11 +57,22 @@
 	origin := time.Now().Add(-firstInstant.Duration())
 	return Clock{
 		Now:   func() Milli { return Milli(time.Since(origin).Milliseconds()) },
+		Boot:  bootTime,
 		Wall:  func() Milli { return Milli(time.Now().UnixMilli()) },
 		After: func(d Milli) <-chan time.Time { return time.After(d.Duration()) },
 	}
 }
 
+// bootTime reads the clock of the host that counts from its boot, suspensions
+// included.
+func bootTime() Milli {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err) // can't happen: the clock is as old as Linux 2.6.39
+	}
+	return firstInstant + Milli(ts.Nano()/int64(time.Millisecond))
+}
+
 // Fake is a clock that advances only by calls of [Fake.Advance]. It is safe for
 // concurrent use.
 type Fake struct {
@@ -78,6 +95,7 @@
 func (f *Fake) Clock() Clock {
 	return Clock{
 		Now:   f.Now,
+		Boot:  f.Now,
 		Wall:  f.Now,
 		After: f.after,
 	}
