--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -42,8 +42,8 @@
 		Changed: func(now clock.Milli, items []watch.Item) {
 			d.run("apply changes of the store", func() { d.viewTracker.applyChanges(now, items) })
 		},
-		Answered:     func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
-		Proved:       d.prove,
+		Answered: func(now clock.Milli) { d.storeAnsweredAt.Store(int64(now)) },
+		Proved:   d.prove,
 		OutageBegan: func(err error) {
 			d.freshness.isAway.Store(true)
 			event.Warn(d.log, event.StoreDown, zap.Error(err))
