Apply the rate limits of client accounts over all daemons

An account may have a rate limit in the configuration, which nothing applied: callers got as much as the targets had.

Each daemon owns an equal share of each limit, sends it to a lender chosen by rendezvous hashing, and asks that lender for the tokens of its requests. A request beyond the limit gets 429 with Retry-After; 503 if no lender answers and the own share is used up. Messages travel in the field Siskin-Quota over the inbound port. The settings span, over and spare put limits in force.

--- a/internal/proto/diag/cause.go
+++ b/internal/proto/diag/cause.go
@@ -1,6 +1,7 @@
 package diag
 
 import (
+	"siskinswitch.example/siskin/internal/proto/event"
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/admit"
 )
@@ -17,6 +18,16 @@
 	DaemonNotReady Cause = "daemon not ready"
 	// NoRoute means that no route matches the request.
 	NoRoute Cause = "no route"
+	// KeyUnknown means that the configuration in force has no such key, or that the
+	// request was a call whose parent had ended.
+	KeyUnknown Cause = "key not known"
+	// KeyUnjudged means that the key could not be judged, because the configuration
+	// may have been outdated.
+	KeyUnjudged Cause = "keys not up to date"
+	// AccountLimited means that the client account was over its rate limit.
+	AccountLimited Cause = "account over its limit"
+	// NoLender means that no daemon that lends tokens of rate limits answered.
+	NoLender Cause = "no lender of rate limits"
 	// NoTarget means that no target of the service could be chosen.
 	NoTarget Cause = "no target to choose"
 	// NoCapacity means that admission control in front of the target refused
@@ -50,6 +61,15 @@
 	Unknown Cause = "not in these logs"
 )
 
+// causeByEnd maps the end of a request that its client account kept from running to
+// its cause.
+var causeByEnd = map[string]Cause{
+	event.EndDenied:    KeyUnknown,
+	event.EndStale:     KeyUnjudged,
+	event.EndLimited:   AccountLimited,
+	event.EndUnmetered: NoLender,
+}
+
 // causeByReason maps the reason of an attempt that did not run to its cause.
 var causeByReason = map[string]Cause{
 	admit.QueueFull.String():        NoCapacity,
--- a/internal/proto/diag/diag_test.go
+++ b/internal/proto/diag/diag_test.go
@@ -91,6 +91,26 @@
 			want: NoRoute,
 			id:   "a",
 		},
+		"unknown key": {
+			log:  answerLine(`"id":"a","end":"denied","reason":"unknown key","status":401`),
+			want: KeyUnknown,
+			id:   "a",
+		},
+		"key that cannot be judged": {
+			log:  answerLine(`"id":"a","end":"stale","reason":"the keys known here may be outdated","status":503`),
+			want: KeyUnjudged,
+			id:   "a",
+		},
+		"over the rate limit": {
+			log:  answerLine(`"id":"a","end":"limited","reason":"over the limit of hut","status":429`),
+			want: AccountLimited,
+			id:   "a",
+		},
+		"no lender": {
+			log:  answerLine(`"id":"a","end":"unmetered","reason":"no lender of rate limits answers","status":503`),
+			want: NoLender,
+			id:   "a",
+		},
 		"no configuration": {
 			log:  answerLine(`"id":"a","end":"unready","status":503`),
 			want: DaemonNotReady,
--- a/internal/proto/diag/explain.go
+++ b/internal/proto/diag/explain.go
@@ -117,6 +117,9 @@
 	case event.EndNoRoute:
 		v.Cause = NoRoute
 		v.Text = fmt.Sprintf("no route of version %d matches it", answer.Version)
+	case event.EndDenied, event.EndStale, event.EndLimited, event.EndUnmetered:
+		v.Cause = causeByEnd[answer.End]
+		v.Text = fmt.Sprintf("the daemon on %s answered %d by version %d: %s", v.Host, answer.Status, answer.Version, answer.Reason)
 	case event.EndRefused:
 		return explainRefusal(answer, attempt, v)
 	case event.EndTimeout:
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -42,6 +42,8 @@
 	ReadRepeated     = Event{Number: 209, Text: "unanswered read of the store is sent again"}
 	KeysRefused      = Event{Number: 210, Text: "keys are refused because the configuration may be outdated"}
 	KeysAccepted     = Event{Number: 211, Text: "keys are accepted again"}
+	LendersUnreached = Event{Number: 212, Text: "no lender of rate limits can be reached"}
+	LendersReached   = Event{Number: 213, Text: "a lender of rate limits can be reached again"}
 	MemberChanged    = Event{Number: 300, Text: "member changed state"}
 	TargetLeaving    = Event{Number: 301, Text: "target is leaving"}
 	Resumed          = Event{Number: 302, Text: "daemon was paused"}
@@ -84,6 +86,11 @@
 	// EndStale means that the key of the request could not be judged, because the
 	// configuration may be outdated.
 	EndStale = "stale"
+	// EndLimited means that the client account of the request is over its rate limit.
+	EndLimited = "limited"
+	// EndUnmetered means that no lender of rate limits could be reached and that the
+	// daemon's own share of the limit was used up.
+	EndUnmetered = "unmetered"
 )
 
 // All returns the catalogue in the order of numbers.
@@ -112,6 +119,8 @@
 		ReadRepeated,
 		KeysRefused,
 		KeysAccepted,
+		LendersUnreached,
+		LendersReached,
 		MemberChanged,
 		TargetLeaving,
 		Resumed,
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -165,6 +165,7 @@
 		RetrySlack:  int(set.Slack),
 		RetryWindow: set.windowTime(),
 		DrainTime:   set.drainTime(),
+		Quota:       set.quotaBounds(),
 	}
 	d.inbound = flow.NewInbound(cfg)
 	d.outbound = flow.NewOutbound(cfg, d.inbound)
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -105,6 +105,7 @@
 		Retries:     func() { repeats.Inc(1) },
 		Refused:     func(reason string) { m.count("refusals", "reason", reason) },
 		ConnOpened:  func() { opened.Inc(1) },
+		Quota:       func(result string) { m.count("quota_messages", "result", result) },
 	}
 }
 
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -41,6 +41,7 @@
 	counts.SlotWait(clock.Second)
 	counts.TargetTime(clock.Second)
 	counts.SentLeaving(clock.Second)
+	counts.Quota("answered")
 	m.count("panics", "op", "tick")
 	m.count("store_reads", "outcome", "list_failed")
 	m.count("records_unreadable", "kind", "target")
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 
+	"siskinswitch.example/siskin/internal/state/quota"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -56,6 +57,13 @@
 	// refused by every daemon, also by one that cannot read the store; 0 means that
 	// such a daemon goes on with the keys that it knows.
 	Revoke float64 `json:"revoke"`
+	// Span, Over and Spare are the excess over the rate limits of client accounts that
+	// the platform tolerates: in Span seconds, the requests of an account over all
+	// daemons may exceed its limit by the share Over of it and by Spare. A Span of 0
+	// puts no rate limits in force.
+	Span  float64 `json:"span"`
+	Over  float64 `json:"over"`
+	Spare float64 `json:"spare"`
 	// Ratio, Window and Slack define the retry budget of a service over all
 	// daemons: in Window seconds, extra attempts may reach the share Ratio of
 	// its requests plus Slack.
@@ -198,6 +206,21 @@
 			value: s.Revoke,
 			most:  maxMillis,
 		},
+		{
+			name:  "span",
+			value: s.Span,
+			most:  maxSeconds,
+		},
+		{
+			name:  "over",
+			value: s.Over,
+			most:  maxRatio,
+		},
+		{
+			name:  "spare",
+			value: s.Spare,
+			most:  maxSlack,
+		},
 		{
 			name:  "ratio",
 			value: s.Ratio,
@@ -246,6 +269,15 @@
 
 func (s *Settings) windowTime() clock.Milli { return ofSeconds(s.Window) }
 
+// quotaBounds returns the excess over rate limits that is tolerated.
+func (s *Settings) quotaBounds() quota.Bounds {
+	return quota.Bounds{
+		Window: ofSeconds(s.Span),
+		Over:   s.Over,
+		Slack:  s.Spare,
+	}
+}
+
 func ofSeconds(n float64) clock.Milli { return clock.Milli(n * float64(clock.Second)) }
 
 // inboundPort returns the port of the inbound listener, which is the same on
--- a/internal/state/model/view.go
+++ b/internal/state/model/view.go
@@ -1,5 +1,10 @@
 package model
 
+import (
+	"maps"
+	"slices"
+)
+
 // View is the state that requests are routed with: the configuration in force
 // and the fleet.
 type View struct {
@@ -45,14 +50,17 @@
 
 // CountHosts returns the number of hosts with a target of a service that the
 // configuration names, which is about the number of daemons.
-func (v *View) CountHosts() int {
+func (v *View) CountHosts() int { return len(v.Hosts()) }
+
+// Hosts returns these hosts, in no order.
+func (v *View) Hosts() []string {
 	hosts := make(map[string]bool, len(v.Fleet.Targets))
 	for _, t := range v.Fleet.Targets {
 		if v.names(t.Service) {
 			hosts[t.Host()] = true
 		}
 	}
-	return len(hosts)
+	return slices.Collect(maps.Keys(hosts))
 }
 
 // names reports whether the configuration names a service. Without a configuration,
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -27,6 +27,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/quota"
 	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/trans/http1"
@@ -69,6 +70,9 @@
 	Refused func(reason string)
 	// ConnOpened reports a new connection to the target.
 	ConnOpened func()
+	// Quota reports a message about rate limits and what became of it; nil ignores
+	// them.
+	Quota func(result string)
 }
 
 // Config configures both sides.
@@ -108,6 +112,9 @@
 	RetryWindow clock.Milli
 	// DrainTime is the time after which a leaving target gets no new work.
 	DrainTime clock.Milli
+	// Quota is the excess over the rate limits of client accounts that the platform
+	// tolerates. The zero value puts no limits in force.
+	Quota quota.Bounds
 }
 
 // withDefaults returns c with the optional functions set.
@@ -124,6 +131,9 @@
 	if c.IsBehind == nil {
 		c.IsBehind = func() bool { return false }
 	}
+	if c.Metrics.Quota == nil {
+		c.Metrics.Quota = func(string) {}
+	}
 	return c
 }
 
@@ -186,7 +196,12 @@
 // refusal returns an answer that says that the request has not run and asks the
 // caller to retry after wait.
 func (c *Config) refusal(id, text string, wait clock.Milli) guard.Answer {
-	a := c.plainAnswer(id, fasthttp.StatusServiceUnavailable, text)
+	return c.retryAnswer(id, fasthttp.StatusServiceUnavailable, text, wait)
+}
+
+// retryAnswer is refusal with another status.
+func (c *Config) retryAnswer(id string, status int, text string, wait clock.Milli) guard.Answer {
+	a := c.plainAnswer(id, status, text)
 	seconds := math.Max(float64(wait), 1) / float64(clock.Second)
 	a.Fields = http1.WithField(a.Fields, c.Headers.Retry, strconv.FormatFloat(seconds, 'f', 3, 64))
 	return a
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -59,6 +59,9 @@
 	// path would be refused further down its chain of calls. It must be set
 	// before the first request.
 	DownstreamThreshold func(path string) admit.Threshold
+	// OnQuota answers the value of [peer.HeaderQuota] in a request of another daemon.
+	// It must be set before the first request.
+	OnQuota func(value string) guard.Answer
 
 	runningMu sync.Mutex
 	// running holds the requests in progress at the target by id.
@@ -90,6 +93,9 @@
 		cfg:                 cfg,
 		running:             make(map[string]*Parent),
 		DownstreamThreshold: func(string) admit.Threshold { return admit.Threshold{} },
+		OnQuota: func(string) guard.Answer {
+			return cfg.plainAnswer("", fasthttp.StatusBadRequest, "no rate limits")
+		},
 		table: guard.New(guard.Config{
 			Bytes:          guardMaxBytes,
 			MaxAnswerBytes: guardMaxAnswerBytes,
@@ -116,7 +122,11 @@
 
 // Handle answers a request that another daemon sent.
 func (n *Inbound) Handle(ctx context.Context, r *http1.Request) http1.Reply {
-	hop, err := peer.ParseHop(r.Get(peer.HeaderHop))
+	header := r.Get(peer.HeaderHop)
+	if value := r.Get(peer.HeaderQuota); header == "" && value != "" {
+		return n.handleQuota(value)
+	}
+	hop, err := peer.ParseHop(header)
 	id := r.Get(n.cfg.Headers.ID)
 	if err != nil {
 		event.Warn(n.cfg.Log, event.Attempt, zap.String("id", id), zap.Error(err))
@@ -130,6 +140,22 @@
 	return n.reply(a, fb)
 }
 
+// handleQuota answers a message about rate limits. A daemon that takes no new work
+// takes none, so that borrowers turn to another lender.
+func (n *Inbound) handleQuota(value string) http1.Reply {
+	n.mu.Lock()
+	draining := n.draining
+	n.mu.Unlock()
+	if draining {
+		return http1.Reply{
+			Answer: n.cfg.refusal("", "not run: "+peer.ReasonLeaving, minRetryAfter),
+		}
+	}
+	return http1.Reply{
+		Answer: n.OnQuota(value),
+	}
+}
+
 func (n *Inbound) reply(a guard.Answer, fb peer.Feedback) http1.Reply {
 	a.Fields = n.cfg.withProof(n.cfg.withSeen(http1.WithField(a.Fields, peer.HeaderFeedback, fb.String())))
 	if fb.Ends > 0 {
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -47,6 +47,7 @@
 	local      *Inbound
 	linkBudget *pick.Bucket
 	graph      *callGraph
+	limiter    *limiter
 	// stopTime is the instant at which the daemon stops, 0 if none is set.
 	stopTime atomic.Int64
 	// callers tells when callers other than the host's target were last active.
@@ -83,7 +84,9 @@
 		spreadPos:  make(map[string]float64),
 		rand:       rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)),
 	}
+	o.limiter = newLimiter(&o.cfg, o.peers)
 	local.DownstreamThreshold = o.threshold
+	local.OnQuota = o.limiter.handle
 	return o
 }
 
@@ -107,8 +110,12 @@
 // in progress do not count: they end with those requests.
 func (o *Outbound) QuietSince(now clock.Milli) clock.Milli { return o.callers.quietSince(now) }
 
-// Tick closes connections that have been idle for too long.
-func (o *Outbound) Tick() { o.peers.Sweep() }
+// Tick closes connections that have been idle for too long, and sends the shares of
+// rate limits that are due.
+func (o *Outbound) Tick() {
+	o.peers.Sweep()
+	o.limiter.tick()
+}
 
 // MayPipeline reports whether a request may run while earlier requests of its
 // connection are unanswered. Only idempotent requests may: if an earlier answer
@@ -154,7 +161,14 @@
 	}
 	ctx, cancel := http1.WithTimeout(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
+	until, denied := o.limit(ctx, c, who)
+	if denied != nil {
+		return o.answerDirectly(r, v, denied.end, denied.reason, denied.answer)
+	}
 	a, end := o.run(ctx, c)
+	if end == event.EndRefused && o.needsToken(who) {
+		o.limiter.release(who.account.Name, until)
+	}
 	took := o.cfg.Clock.Now() - r.Arrived
 	o.cfg.Metrics.Answered(end, took)
 	if c.parent != nil && a.Status >= fasthttp.StatusInternalServerError {
