--- a/internal/state/quota/borrower.go
+++ b/internal/state/quota/borrower.go
@@ -282,6 +282,22 @@
 	}
 }
 
+// moveShares returns the unsent shares of all shards of a lender. They are sent
+// together, because the lender bounds the time that a daemon's shares stand for and
+// does not keep it by shard.
+func (b *Borrower) moveShares(now clock.Milli, host string) []Share {
+	var shares []Share
+	for shard := range b.shares {
+		if len(b.table.shards[shard]) == 0 || b.unsent(now, shard) <= 0 {
+			continue
+		}
+		if lender, ok := b.lender(now, shard); ok && lender == host {
+			shares = append(shares, b.moveShare(now, shard))
+		}
+	}
+	return shares
+}
+
 // takeOwn takes a token from the part of the own share that was not sent. It may stand
 // for MaxShare at most, so that daemons that are cut off for long do not save up.
 func (b *Borrower) takeOwn(now clock.Milli, c *credit) bool {
@@ -342,7 +358,8 @@
 	o.giveBack(c)
 	o.Want = min(max(waiting+c.expectedUse(now)-c.held, 1), MaxWant)
 	if b.unsent(now, c.account.Shard) >= minAddedShare {
-		o.Shares = []Share{b.moveShare(now, c.account.Shard)}
+		o.Shares = b.moveShares(now, host)
+		b.peers[host].dueAt = now + shareEvery
 	}
 	return o, true
 }
@@ -449,15 +466,7 @@
 		spread := (score(0, host) ^ b.id) % uint64(shareEvery)
 		p.dueAt = now + clock.Milli(spread) + 1
 	}
-	var shares []Share
-	for shard := range b.shares {
-		if len(b.table.shards[shard]) == 0 || b.unsent(now, shard) <= 0 {
-			continue
-		}
-		if lender, ok := b.lender(now, shard); ok && lender == host {
-			shares = append(shares, b.moveShare(now, shard))
-		}
-	}
+	shares := b.moveShares(now, host)
 	if len(shares) == 0 {
 		return Outgoing{}, false
 	}
--- a/internal/state/quota/lender.go
+++ b/internal/state/quota/lender.go
@@ -16,6 +16,9 @@
 	aliveTime  = 2 * clock.Second
 	forgetTime = 30 * clock.Second
 	sweepEvery = clock.Second
+	// shrinkTime is the least time for which a number of daemons that own shares counts
+	// after it has become smaller, because others may not know yet that it has.
+	shrinkTime = 3 * clock.Second
 	// maxSenders bounds the senders that are remembered.
 	maxSenders = 1 << 14
 	// seqWindow is the number of messages of a sender that may arrive out of order.
@@ -38,10 +41,15 @@
 
 // Lender collects shares and lends tokens. It is not safe for concurrent use.
 type Lender struct {
-	members int
-	shards  [Shards]pool
-	byHash  map[uint64]*bucket
-	senders map[uint64]*sender
+	// members is the number of daemons that own shares. recent and earlier are the
+	// greatest numbers since shrunkAt and in the time before it.
+	members  int
+	recent   int
+	earlier  int
+	shrunkAt clock.Milli
+	shards   [Shards]pool
+	byHash   map[uint64]*bucket
+	senders  map[uint64]*sender
 	// alive counts the senders that own shares, as of sweptAt and since.
 	alive   int
 	sweptAt clock.Milli
@@ -108,7 +116,10 @@
 }
 
 // SetMembers sets the number of daemons that own shares.
-func (l *Lender) SetMembers(count int) { l.members = count }
+func (l *Lender) SetMembers(count int) {
+	l.members = count
+	l.recent = max(l.recent, count)
+}
 
 // Receive takes the shares and the tokens that a message brings and returns the tokens
 // that it lends. A refused message has no effect.
@@ -182,7 +193,7 @@
 	s.credit = min(s.credit+now-s.creditAt, MaxShare)
 	s.creditAt = now
 	longest := clock.Milli(0)
-	owners := float64(max(l.members, m.Members, l.alive, 1))
+	owners := float64(max(l.owners(now), m.Members, l.alive, 1))
 	for _, share := range m.Shares {
 		time := min(share.Time, s.credit)
 		longest = max(longest, time)
@@ -191,6 +202,16 @@
 	s.credit -= longest
 }
 
+// owners returns the greatest number of daemons that have owned shares of late.
+func (l *Lender) owners(now clock.Milli) int {
+	if now-l.shrunkAt >= shrinkTime {
+		l.earlier = l.recent
+		l.recent = l.members
+		l.shrunkAt = now
+	}
+	return max(l.members, l.recent, l.earlier)
+}
+
 // add adds what accrues in a time to all buckets.
 func (p *pool) add(now clock.Milli, time float64) {
 	p.decay(now)
--- a/internal/state/quota/members.go
+++ b/internal/state/quota/members.go
@@ -90,7 +90,11 @@
 
 // sortByScore sorts list by falling score.
 func sortByScore[T cmp.Ordered](list []T, scoreOf func(T) uint64) {
+	scores := make(map[T]uint64, len(list))
+	for _, v := range list {
+		scores[v] = scoreOf(v)
+	}
 	slices.SortFunc(list, func(a, b T) int {
-		return cmp.Or(cmp.Compare(scoreOf(b), scoreOf(a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
 	})
 }
