Send the shares of large fleets each second

Each of 780 daemons sent a message to each of 32 lenders every 500 ms: 64 a second, and 1,560 that each lender receives. Above 16 lenders shares are sent each second now, which halves both; a lost message moves at most 1.5 s of a share.

--- a/internal/state/quota/borrower.go
+++ b/internal/state/quota/borrower.go
@@ -299,18 +299,18 @@
 }
 
 // takeOwn takes a token from the part of the own share that was not sent. It may stand
-// for MaxShare at most, so that daemons that are cut off for long do not save up.
+// for maxOwn at most, so that daemons that are cut off for long do not save up.
 func (b *Borrower) takeOwn(now clock.Milli, c *credit) bool {
 	s := &b.shares[c.account.Shard]
 	s.kept += b.moveShare(now, c.account.Shard).Time
-	if now-c.ownAt > MaxShare {
+	if now-c.ownAt > maxOwn {
 		c.own = 0
 	}
 	c.ownAt = now
 	rate := c.account.Rate / float64(max(b.members.count, 1))
-	time := min(s.kept-c.ownMark, MaxShare)
+	time := min(s.kept-c.ownMark, maxOwn)
 	c.ownMark = s.kept
-	c.own = min(c.own+rate*float64(time)/float64(clock.Second), rate*float64(MaxShare)/float64(clock.Second))
+	c.own = min(c.own+rate*float64(time)/float64(clock.Second), rate*float64(maxOwn)/float64(clock.Second))
 	if c.own < 1 {
 		return false
 	}
@@ -359,7 +359,7 @@
 	o.Want = min(max(waiting+c.expectedUse(now)-c.held, 1), MaxWant)
 	if b.unsent(now, c.account.Shard) >= minAddedShare {
 		o.Shares = b.moveShares(now, host)
-		b.peers[host].dueAt = now + shareEvery
+		b.peers[host].dueAt = now + b.members.shareEvery()
 	}
 	return o, true
 }
@@ -461,9 +461,10 @@
 	if now < p.dueAt {
 		return Outgoing{}, false
 	}
-	p.dueAt += shareEvery
+	interval := b.members.shareEvery()
+	p.dueAt += interval
 	if p.dueAt <= now {
-		spread := (score(0, host) ^ b.id) % uint64(shareEvery)
+		spread := (score(0, host) ^ b.id) % uint64(interval)
 		p.dueAt = now + clock.Milli(spread) + 1
 	}
 	shares := b.moveShares(now, host)
--- a/internal/state/quota/members.go
+++ b/internal/state/quota/members.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 const (
@@ -70,6 +72,14 @@
 // Lenders returns the lenders. The caller must not modify them.
 func (m *Members) Lenders() []string { return m.lenders }
 
+// shareEvery returns the interval at which shares are sent.
+func (m *Members) shareEvery() clock.Milli {
+	if len(m.lenders) > largeLenders {
+		return largeShareEvery
+	}
+	return shareEvery
+}
+
 // lender returns the preferred lender of a shard among those that are usable, and
 // false if none is.
 func (m *Members) lender(shard int, isUsable func(host string) bool) (string, bool) {
--- a/internal/state/quota/quota.go
+++ b/internal/state/quota/quota.go
@@ -38,10 +38,16 @@
 	MaxWant = 10_000
 	// MaxShare bounds the time that a share stands for. What accrued before that is
 	// lost to the daemon that did not send it.
-	MaxShare = clock.Second
-
-	// shareEvery is the interval at which shares are sent.
-	shareEvery = 500 * clock.Millisecond
+	MaxShare = 1500 * clock.Millisecond
+
+	// shareEvery is the interval at which shares are sent, largeShareEvery that of a
+	// fleet with more than largeLenders lenders, each of which gets messages from all
+	// daemons.
+	shareEvery      = 500 * clock.Millisecond
+	largeShareEvery = clock.Second
+	largeLenders    = 16
+	// maxOwn is the time whose accrued share a daemon without a lender may save up.
+	maxOwn = clock.Second
 	// initialShare is the accrued time that a daemon begins with.
 	initialShare = 500 * clock.Millisecond
 	// downTime is how long a lender that did not answer is left out.
