--- a/internal/trans/flow/quota.go
+++ b/internal/trans/flow/quota.go
@@ -240,6 +240,7 @@
 	}
 	ctx, cancel := http1.WithTimeout(context.Background(), quota.AnswerTime)
 	defer cancel()
+	askedAt := l.cfg.askProof()
 	a, err := l.peers.Do(ctx, net.JoinHostPort(o.Lender, strconv.Itoa(l.cfg.Self.InboundPort)), &http1.Request{
 		Method: fasthttp.MethodPost,
 		Host:   o.Lender,
@@ -259,6 +260,7 @@
 	case a.Status != fasthttp.StatusOK:
 		return 0, errRefused
 	}
+	l.cfg.takeProof(askedAt, a.Fields)
 	return peer.ParseLent(http1.Get(a.Fields, peer.HeaderQuota))
 }
 
@@ -285,12 +287,13 @@
 	l.cfg.Metrics.Quota(quotaReceived)
 	return guard.Answer{
 		Status: fasthttp.StatusOK,
-		Fields: []guard.Field{
+		// Lenders hear from all daemons, so proofs spread with their answers.
+		Fields: l.cfg.withProof([]guard.Field{
 			{
 				Name:  peer.HeaderQuota,
 				Value: peer.FormatLent(lent),
 			},
-		},
+		}),
 	}
 }
 
