--- a/internal/state/quota/quota_test.go
+++ b/internal/state/quota/quota_test.go
@@ -53,7 +53,7 @@
 	}{
 		"the lenders of all accounts die and start again": {
 			fail: func(s *sim, load func(clock.Milli)) {
-				var killed []*simDaemon
+				killed := make([]*simDaemon, 0, len(simLimits))
 				for _, l := range simLimits {
 					a, _ := s.table.Account(l.Name)
 					host, _ := s.daemons[0].b.lender(s.now, a.Shard)
