--- a/internal/state/quota/borrower.go
+++ b/internal/state/quota/borrower.go
@@ -72,9 +72,12 @@
 
 // lenderState is what is known of a lender.
 type lenderState struct {
-	seq       uint64
-	downUntil clock.Milli
-	dueAt     clock.Milli
+	seq   uint64
+	dueAt clock.Milli
+	// isDown is set from a message without an answer until the answer to a later one.
+	// Meanwhile the lender gets nothing but an empty message at probeAt.
+	isDown  bool
+	probeAt clock.Milli
 }
 
 // credit holds the tokens of an account at this daemon.
@@ -180,7 +183,7 @@
 			Retry:   c.retry(),
 		}
 	}
-	if _, ok := b.lender(now, c.account.Shard); ok {
+	if _, ok := b.lender(c.account.Shard); ok {
 		return Decision{
 			Verdict: Wait,
 		}
@@ -251,16 +254,16 @@
 }
 
 // lender returns the lender of a shard, and false if none is believed to be reachable.
-func (b *Borrower) lender(now clock.Milli, shard int) (string, bool) {
-	return b.members.lender(shard, func(host string) bool { return b.peers[host].downUntil <= now })
+func (b *Borrower) lender(shard int) (string, bool) {
+	return b.members.lender(shard, func(host string) bool { return !b.peers[host].isDown })
 }
 
 // IsCutOff reports whether there is an account none of whose lenders can be reached.
-func (b *Borrower) IsCutOff(now clock.Milli) bool {
+func (b *Borrower) IsCutOff() bool {
 	if b.table.Len() == 0 || b.members.count == 0 {
 		return false
 	}
-	_, ok := b.lender(now, 0)
+	_, ok := b.lender(0)
 	return !ok
 }
 
@@ -291,7 +294,7 @@
 		if len(b.table.shards[shard]) == 0 || b.unsent(now, shard) <= 0 {
 			continue
 		}
-		if lender, ok := b.lender(now, shard); ok && lender == host {
+		if lender, ok := b.lender(shard); ok && lender == host {
 			shares = append(shares, b.moveShare(now, shard))
 		}
 	}
@@ -349,7 +352,7 @@
 	if c == nil {
 		return Outgoing{}, false
 	}
-	host, ok := b.lender(now, c.account.Shard)
+	host, ok := b.lender(c.account.Shard)
 	if !ok {
 		return Outgoing{}, false
 	}
@@ -390,7 +393,7 @@
 // Answered records the tokens that a lender lent.
 func (b *Borrower) Answered(now clock.Milli, o *Outgoing, lent int) {
 	if p, ok := b.peers[o.Lender]; ok {
-		p.downUntil = 0
+		p.isDown = false
 	}
 	if o.account == nil || o.Want == 0 {
 		return
@@ -412,7 +415,8 @@
 // message held is lost unless it is certain that it did not arrive.
 func (b *Borrower) Failed(now clock.Milli, o *Outgoing, hasArrived bool) {
 	if p, ok := b.peers[o.Lender]; ok {
-		p.downUntil = now + downTime
+		p.isDown = true
+		p.probeAt = now + downTime
 	}
 	if hasArrived {
 		return
@@ -444,7 +448,7 @@
 		if c.back == 0 {
 			continue
 		}
-		if host, ok := b.lender(now, c.account.Shard); ok {
+		if host, ok := b.lender(c.account.Shard); ok {
 			o := b.outgoing(now, host)
 			o.giveBack(c)
 			due = append(due, o)
@@ -453,12 +457,17 @@
 	return due
 }
 
-// dueShares returns the message with the shares for a lender if it is due. The first is
+// dueShares returns the message with the shares for a lender if it is due, or an empty
+// one if it is time to see whether the lender answers again. The first with shares is
 // due at once, and the second after a time that differs between daemons, so that the
 // messages of a fleet that starts are spread.
 func (b *Borrower) dueShares(now clock.Milli, host string) (Outgoing, bool) {
 	p := b.peers[host]
-	if now < p.dueAt {
+	if p.isDown && now >= p.probeAt {
+		p.probeAt = now + downTime
+		return b.outgoing(now, host), true
+	}
+	if p.isDown || now < p.dueAt {
 		return Outgoing{}, false
 	}
 	interval := b.members.shareEvery()
--- a/internal/state/quota/quota.go
+++ b/internal/state/quota/quota.go
@@ -50,7 +50,8 @@
 	maxOwn = clock.Second
 	// initialShare is the accrued time that a daemon begins with.
 	initialShare = 500 * clock.Millisecond
-	// downTime is how long a lender that did not answer is left out.
+	// downTime is how long a lender that did not answer is left alone before it is seen
+	// whether it answers again.
 	downTime = clock.Second
 	// noneTime is how long a borrower that got fewer tokens than it asked for
 	// refuses requests before it asks again.
--- a/internal/state/quota/quota_test.go
+++ b/internal/state/quota/quota_test.go
@@ -36,7 +36,7 @@
 					since := s.now
 					s.load(7*clock.Second, factor, at)
 					s.checkExcess(t, simLimits, simStart)
-					s.checkUse(t, since, 0.95)
+					s.checkUse(t, simLimits, since, 0.95)
 				})
 			}
 		}
@@ -56,7 +56,7 @@
 				killed := make([]*simDaemon, 0, len(simLimits))
 				for _, l := range simLimits {
 					a, _ := s.table.Account(l.Name)
-					host, _ := s.daemons[0].b.lender(s.now, a.Shard)
+					host, _ := s.daemons[0].b.lender(a.Shard)
 					killed = append(killed, s.byHost[host])
 					s.byHost[host].isDead = true
 				}
@@ -148,13 +148,34 @@
 					since := s.now
 					s.load(6*clock.Second, 4, entry)
 					s.checkExcess(t, simLimits, simStart)
-					s.checkUse(t, since, tt.least)
+					s.checkUse(t, simLimits, since, tt.least)
 				})
 			}
 		}
 	}
 }
 
+// Guards against shares that are lost to lenders which do not answer for long.
+func TestServiceWhileLendersAreCutOff(t *testing.T) {
+	tests := map[string]func(a, b int) bool{
+		"halves":       func(a, b int) bool { return a%2 != b%2 },
+		"every daemon": func(a, b int) bool { return a != b },
+	}
+	for name, isCut := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(16, 1)
+			entry := func() int { return s.rand.IntN(16) }
+			s.load(4*clock.Second, 4, entry)
+			s.isCut = isCut
+			s.load(2*clock.Second, 4, entry)
+			since := s.now
+			s.load(4*clock.Second, 4, entry)
+			// A sixteenth of the small account's rate is no request in a second.
+			s.checkUse(t, simLimits[:2], since, 0.95)
+		})
+	}
+}
+
 // Guards against an account that goes on at its old limit after it was lowered.
 func TestLoweredLimitBinds(t *testing.T) {
 	const known = 3 * clock.Second
--- a/internal/state/quota/sim_test.go
+++ b/internal/state/quota/sim_test.go
@@ -309,9 +309,9 @@
 
 // checkUse checks that at least a share of what the limits allow was let through since
 // an instant. Of small numbers, those that wait at the ends of the time do not count.
-func (s *sim) checkUse(t *testing.T, since clock.Milli, least float64) {
+func (s *sim) checkUse(t *testing.T, limits []Limit, since clock.Milli, least float64) {
 	t.Helper()
-	for _, l := range simLimits {
+	for _, l := range limits {
 		allowed, got := s.allowed(l, since), countSince(s.served[l.Name], since)
 		t.Logf("%s: %d of %d", l.Name, got, allowed)
 		if float64(got+2) < least*float64(allowed) {
--- a/internal/trans/flow/quota.go
+++ b/internal/trans/flow/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -136,7 +137,10 @@
 func (l *limiter) leave(account string, done chan quota.Decision) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := l.lines[account]
+	n, ok := l.lines[account]
+	if !ok {
+		return false
+	}
 	i := slices.Index(n.waiting, done)
 	if i < 0 {
 		return false
@@ -305,6 +309,10 @@
 		return
 	}
 	t := quota.NewTable(l.cfg.Quota, limitsOf(c))
+	maps.DeleteFunc(l.lines, func(account string, n *line) bool {
+		_, ok := t.Account(account)
+		return !ok && !n.isAsking && len(n.waiting) == 0
+	})
 	l.borrower.SetTable(t)
 	l.lender.SetTable(t)
 	l.config.Store(c)
@@ -343,7 +351,7 @@
 	defer l.mu.Unlock()
 	now := l.cfg.Clock.Now()
 	l.refreshMembers(now, v)
-	l.logCutOff(now)
+	l.logCutOff()
 	return l.borrower.Tick(now)
 }
 
@@ -366,8 +374,8 @@
 
 // logCutOff logs when no lender can be reached, and when one can again. l.mu must be
 // held.
-func (l *limiter) logCutOff(now clock.Milli) {
-	isCutOff := l.borrower.IsCutOff(now)
+func (l *limiter) logCutOff() {
+	isCutOff := l.borrower.IsCutOff()
 	if isCutOff == l.isCutOff {
 		return
 	}
