Bound the time for the body of a request, and refuse before it is read

A body had no time limit: a caller that stopped within one held its memory in the pool, and its connection, until it disconnected. A body that broke off got no answer.

The http1 server now bounds a body by a time that its configuration states for the request, and ends one that brings less than 4 KB in 5 s. Both are answered with 408, a body that breaks off with 400; neither has run. A function called at the end of the header can refuse a request before its body is read, or before it is asked for with 100 Continue; it is not asked for bodies below 16 KB, which cost less than a new connection. A closing connection is read for up to 5 s while bytes arrive, so that a sender that still writes gets its answer.

--- a/internal/trans/http1/reply.go
+++ b/internal/trans/http1/reply.go
@@ -113,16 +113,30 @@
 	// The reader may be about to set a later deadline. The timer must not keep the
 	// session with its buffer.
 	raw := c.raw
-	c.lingerEnd = time.AfterFunc(lingerTime.Duration(), func() { _ = raw.Close() })
+	c.lingerEnd = time.AfterFunc(maxLingerTime.Duration(), func() { _ = raw.Close() })
 }
 
-// discardInput reads, for lingerTime at most, what the client still sends on a
-// connection that was closed gracefully. Nothing is read from br any more.
+// discardInput reads, for maxLingerTime at most, what the client still sends on a
+// connection that was closed gracefully, until nothing arrives for lingerTime. Nothing
+// is read from br any more.
 func (c *session) discardInput() {
 	if c.lingerEnd == nil {
 		return
 	}
-	c.br = nil
-	_, _ = io.Copy(io.Discard, c.raw)
+	c.br, c.paced = nil, nil
+	_, _ = io.Copy(io.Discard, &patientReader{
+		conn: c.raw,
+	})
 	c.lingerEnd.Stop()
 }
+
+// patientReader reads from a connection until nothing arrives for lingerTime.
+type patientReader struct {
+	conn net.Conn
+}
+
+// Read reads what has arrived.
+func (p *patientReader) Read(b []byte) (int, error) {
+	_ = p.conn.SetReadDeadline(time.Now().Add(lingerTime.Duration()))
+	return p.conn.Read(b)
+}
--- a/internal/trans/http1/server.go
+++ b/internal/trans/http1/server.go
@@ -29,6 +29,9 @@
 	MaxBody     int
 	ReadTimeout clock.Milli
 	IdleTimeout clock.Milli
+	// StallTime is how long a body may bring less than minProgressBytes; 0 means
+	// defaultStallTime.
+	StallTime clock.Milli
 }
 
 // ServerConfig configures a [Server].
@@ -41,6 +44,13 @@
 	// MayPipeline reports whether r may be handled while earlier requests of
 	// its connection are unanswered.
 	MayPipeline func(r *Request) bool
+	// BodyTime returns how long the body of r may take from the end of its header
+	// on, beside the limit for one that stalls. nil means no bound.
+	BodyTime func(r *Request) clock.Milli
+	// Precheck returns the reply to a request that is refused whatever its body is,
+	// and whether it is. It is called before a long body is read; r has no body then.
+	// nil refuses none.
+	Precheck func(r *Request) (Reply, bool)
 	// Malformed returns the answer to input that is not a valid request or
 	// exceeds a bound. r has the header, or is nil if that was not read.
 	Malformed func(r *Request, status int, err error) guard.Answer
@@ -71,9 +81,11 @@
 const (
 	// maxPipelined bounds the unanswered requests of one connection.
 	maxPipelined = 64
-	// lingerTime is how long a closing connection is still read. Closing it with
-	// unread bytes would reset it, and the client could lose the last answer.
-	lingerTime = clock.Second
+	// lingerTime is how long a closing connection is still read while nothing
+	// arrives, and maxLingerTime how long in all. Closing it with unread bytes would
+	// reset it, and the client could lose the last answer.
+	lingerTime    = clock.Second
+	maxLingerTime = 5 * clock.Second
 	// idleCheckTime is how long a connection that is to close when idle waits
 	// for a request that is on the way.
 	idleCheckTime = clock.Millisecond
@@ -92,6 +104,12 @@
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(*rescue.Error) {}
 	}
+	if cfg.BodyTime == nil {
+		cfg.BodyTime = func(*Request) clock.Milli { return maxBodyTime }
+	}
+	if cfg.Precheck == nil {
+		cfg.Precheck = func(*Request) (Reply, bool) { return Reply{}, false }
+	}
 	if cfg.OnBroken == nil {
 		cfg.OnBroken = func(string, error) {}
 	}
@@ -176,10 +194,14 @@
 // addConn registers a connection. It is called before the goroutine of the
 // connection starts, so that IsIdle sees the connection from the first moment.
 func (s *Server) addConn(raw net.Conn) *session {
+	paced := &pacedReader{
+		conn: raw,
+	}
 	c := &session{
 		server:     s,
 		raw:        raw,
-		br:         bufio.NewReaderSize(raw, s.bufferSize()),
+		paced:      paced,
+		br:         bufio.NewReaderSize(paced, s.bufferSize()),
 		replies:    make(chan *pendingReply, maxPipelined),
 		writerDone: make(chan struct{}),
 	}
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -24,7 +25,9 @@
 type session struct {
 	server *Server
 	raw    net.Conn
-	br     *bufio.Reader
+	// paced reads from raw, and br from paced.
+	paced *pacedReader
+	br    *bufio.Reader
 	// replies holds the unfinished replies in the order of their requests.
 	replies chan *pendingReply
 	// unanswered counts the requests that were read and not yet answered.
@@ -202,36 +205,57 @@
 	r := copyRequest(h)
 	r.From = c.raw.RemoteAddr().String()
 	r.Arrived = c.server.cfg.Clock.Now()
-	if string(h.Peek("Expect")) != "" && c.unanswered.Load() == 0 {
+	if c.hasBodyAhead(h) {
+		if reply, ok := c.server.cfg.Precheck(r); ok {
+			return r, &earlyReply{
+				reply: reply,
+			}
+		}
+	}
+	if isBodyHeldBack(h) && c.unanswered.Load() == 0 {
 		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, err
 		}
 	}
-	return r, c.readBody(r, h, limits.MaxBody)
+	return r, c.readBody(r, h, limits)
 }
 
 // readBody reads the body of r, whose header is h.
-func (c *session) readBody(r *Request, h *fasthttp.RequestHeader, limit int) error {
+func (c *session) readBody(r *Request, h *fasthttp.RequestHeader, limits ServerLimits) error {
 	length := h.ContentLength()
 	if length == 0 || length == lengthUntilClose {
 		return nil
 	}
-	_ = c.raw.SetReadDeadline(time.Time{})
+	left := r.Arrived + c.server.cfg.BodyTime(r) - c.server.cfg.Clock.Now()
+	c.paced.beginBody(left, limits.StallTime)
+	defer c.paced.endBody()
 	r.hold = c.server.cfg.Requests.Open()
-	body, err := readBody(c.br, length, limit, r.hold)
+	body, err := readBody(c.br, length, limits.MaxBody, r.hold)
 	if err != nil {
-		return err
+		return c.bodyError(err)
 	}
 	if length == lengthChunked {
 		if err := h.ReadTrailer(c.br); err != nil {
 			r.hold.Release()
-			return unexpected(err)
+			return c.bodyError(err)
 		}
 	}
 	r.Body = body
 	return nil
 }
 
+// bodyError returns the error of a body, which tells a body that took too long, and one
+// that its sender broke off, from a connection that failed.
+func (c *session) bodyError(err error) error {
+	switch {
+	case c.paced.isLate:
+		return fmt.Errorf("%w: %w", errLateBody, err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return fmt.Errorf("%w: %w", errCutBody, err)
+	}
+	return err
+}
+
 // awaitRequest waits for the first byte of a request. It returns errIdle if the
 // connection has no unanswered request for the idle timeout that is then in
 // force.
@@ -297,16 +321,13 @@
 	if errors.Is(err, errIdle) || c.closing.Load() {
 		return
 	}
-	status := statusOf(err)
-	if status == 0 {
+	reply, ok := c.replyTo(r, err)
+	if !ok {
 		c.reportBroken(err)
 		c.cancel()
 		return
 	}
-	reply := Reply{
-		Answer: c.server.cfg.Malformed(r, status, err),
-		Close:  true,
-	}
+	reply.Close = true
 	p := c.newPendingReply(&Request{
 		close: true,
 	})
@@ -316,6 +337,23 @@
 	c.replies <- p
 }
 
+// replyTo returns the reply to input that ended with an error, and whether there is one.
+// A connection that ended within a body may be open in the other direction, but a client
+// that waits for earlier answers has more likely disconnected.
+func (c *session) replyTo(r *Request, err error) (Reply, bool) {
+	var early *earlyReply
+	if errors.As(err, &early) {
+		return early.reply, true
+	}
+	status := statusOf(err)
+	if status == 0 || errors.Is(err, errCutBody) && c.unanswered.Load() > 0 {
+		return Reply{}, false
+	}
+	return Reply{
+		Answer: c.server.cfg.Malformed(r, status, err),
+	}, true
+}
+
 // reportBroken reports that the system or a time limit ended the connection. A client
 // that closes it, which its end or a reset shows, is an ordinary event.
 func (c *session) reportBroken(err error) {
@@ -337,6 +375,10 @@
 		return fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, errNoMemory):
 		return fasthttp.StatusServiceUnavailable
+	case errors.Is(err, errLateBody):
+		return fasthttp.StatusRequestTimeout
+	case errors.Is(err, errCutBody):
+		return fasthttp.StatusBadRequest
 	case errors.As(err, &nothing), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
 		errors.Is(err, net.ErrClosed):
 		return 0
