Refuse uploads by their header, and end those that stall

The daemons read the whole body of a request before they looked at it: also without a route or a key, and while every target was known to refuse it. A body could take any time. A daemon that gave up the body of another daemon's attempt did not say that the attempt has not run, so that its sender had to ask.

The outbound side now states the request's deadline as the time for its body, and decides by the header about long bodies: no configuration, no route, unknown key, stop before the deadline, thresholds by which every target would refuse. The inbound side does the same for leaving, replaced and stopping targets, and fences an attempt in the guard before it says that it has not run.

--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -98,6 +98,9 @@
 	ReasonLeaving = "leaving"
 	// ReasonEnding means that the daemon ends before the deadline of the request.
 	ReasonEnding = "ending"
+	// ReasonUnread means that the body of the request was not read: it took too long,
+	// or there was no memory for it.
+	ReasonUnread = "unread"
 	// ReasonDownstream means that a service further downstream would refuse the
 	// request.
 	ReasonDownstream = "deeper"
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -173,6 +173,8 @@
 		Limits:      d.callerLimits,
 		Handle:      d.outbound.Handle,
 		MayPipeline: d.outbound.MayPipeline,
+		BodyTime:    d.outbound.BodyTime,
+		Precheck:    d.outbound.Precheck,
 		Malformed:   d.malformed,
 		Requests:    d.requests,
 		Answers:     d.answers,
@@ -191,11 +193,15 @@
 		},
 		Handle:      d.inbound.Handle,
 		MayPipeline: func(*http1.Request) bool { return false },
-		Malformed:   d.malformed,
-		Requests:    d.requests,
-		Answers:     d.answers,
-		OnPanic:     d.contain,
-		OnBroken:    d.connBroken,
+		BodyTime:    d.inbound.BodyTime,
+		Precheck:    d.inbound.Precheck,
+		Malformed: func(r *http1.Request, status int, err error) guard.Answer {
+			return d.inbound.Unread(r, d.malformed(r, status, err))
+		},
+		Requests: d.requests,
+		Answers:  d.answers,
+		OnPanic:  d.contain,
+		OnBroken: d.connBroken,
 	})
 	return d, nil
 }
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -19,15 +19,9 @@
 	if !ok {
 		return n.refuse(r, hop, peer.ReasonLeaving)
 	}
-	if n.isOtherTarget(hop.Target) {
-		return n.refuse(r, hop, peer.ReasonReplaced)
-	}
-	if !n.DownstreamThreshold(hop.Path).Passes(hop.Importance, hop.RootHash) {
-		return n.refuse(r, hop, peer.ReasonDownstream)
-	}
 	deadline := now + timeLeft(r, n.cfg.Headers.Deadline)
-	if n.endsBefore(deadline) {
-		return n.refuse(r, hop, peer.ReasonEnding)
+	if reason := n.refusalReason(now, hop, deadline); reason != "" {
+		return n.refuse(r, hop, reason)
 	}
 	req, d, signals := gate.Offer(admit.Request{
 		Path:       hop.Path,
@@ -119,6 +113,13 @@
 	return n.gate, !n.draining && !n.hasLeft(now)
 }
 
+// takesWork reports whether the target takes new work.
+func (n *Inbound) takesWork(now clock.Milli) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.draining && !n.hasLeft(now)
+}
+
 // endsBefore reports whether the daemon stops before the deadline of a request.
 func (n *Inbound) endsBefore(deadline clock.Milli) bool {
 	n.mu.Lock()
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -31,8 +31,11 @@
 	// queryTimeout bounds one query.
 	queryTimeout = 700 * clock.Millisecond
 	// typicalCallBytes is the estimated cost of a call on the link between
-	// regions.
+	// regions, unless the body of its request alone has more.
 	typicalCallBytes = 6 << 10
+	// maxCallBytes bounds the cost of a call, since the link's budget never lets one
+	// pass that is above linkBurstBytes less the reserve for more important calls.
+	maxCallBytes = linkBurstBytes / 4
 )
 
 // run makes attempts until one is answered or no further attempt is allowed. It
@@ -177,7 +180,7 @@
 		Importance: c.importance,
 		RootHash:   c.root,
 		Exclude:    excluded,
-		Bytes:      typicalCallBytes,
+		Bytes:      linkCost(c.r),
 	}
 	if c.rejectedBy != "" {
 		q.Exclude = append(slices.Clone(excluded), c.rejectedBy)
@@ -194,6 +197,10 @@
 	return s.targets[choice.Target], s.picker.Started(now, choice.Target, c.route.Name), nil
 }
 
+// linkCost returns the bytes that a call with the request takes of the link's budget.
+// So an upload crosses the link only while the budget has room for many other calls.
+func linkCost(r *http1.Request) int { return max(typicalCallBytes, min(len(r.Body), maxCallBytes)) }
+
 // finishAttempt reports the end of an attempt to the picker and applies the
 // feedback.
 func (o *Outbound) finishAttempt(s *service, c *call, t model.Target, f pick.Call, fb peer.Feedback) {
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -130,28 +130,12 @@
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
 	}
-	v := o.cfg.View()
-	if v.Config == nil || !v.Fleet.Loaded {
-		const reason = "no configuration yet"
-		return o.answerDirectly(r, v, event.EndNotReady, reason, o.cfg.refusal(id, reason, unreadyRetryAfter))
-	}
-	route, ok := v.Config.Match(r.Host, r.Path())
-	if !ok {
-		const reason = "no route"
-		return o.answerDirectly(r, v, event.EndNoRoute, reason, o.cfg.plainAnswer(id, fasthttp.StatusNotFound, reason))
-	}
-	who, denied := o.identify(r, id, route, v, parent)
-	if denied != nil {
-		return o.answerDirectly(r, v, denied.end, denied.reason, denied.answer)
-	}
-	r.Fields = o.setIdentity(r.Fields, v, who)
-	c := o.newCall(r, id, route, v, parent, who)
-	if end := clock.Milli(o.stopTime.Load()); end > 0 && c.deadline > end {
-		const reason = "the daemon stops"
-		reply := o.answerDirectly(r, v, event.EndNotReady, reason, o.cfg.refusal(id, reason, closingRetryAfter))
-		reply.Close = true
-		return reply
+	e, refused := o.enter(r, id, parent)
+	if refused != nil {
+		return *refused
 	}
+	r.Fields = o.setIdentity(r.Fields, e.view, e.who)
+	c := o.newCall(r, e)
 	ctx, cancel := http1.WithTimeout(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
 	a, end := o.run(ctx, c)
@@ -238,29 +222,25 @@
 	retryAfter clock.Milli
 }
 
-func (o *Outbound) newCall(r *http1.Request, id string, route *model.Route, v *model.View, parent *Parent, who identity) *call {
-	left := timeLeft(r, o.cfg.Headers.Deadline)
-	if route.Timeout > 0 {
-		left = min(left, route.Timeout)
-	}
+func (o *Outbound) newCall(r *http1.Request, e entry) *call {
 	c := &call{
 		r:          r,
-		id:         id,
-		route:      route,
-		view:       v,
-		service:    o.chooseService(route),
-		importance: importanceOf(priorityOf(route, who)),
-		root:       xxhash.Sum64String(id),
-		deadline:   r.Arrived + left,
+		id:         e.id,
+		route:      e.route,
+		view:       e.view,
+		service:    o.chooseService(e.route),
+		importance: importanceOf(priorityOf(e.route, e.who)),
+		root:       xxhash.Sum64String(e.id),
+		deadline:   o.deadlineOf(r, e.route),
 	}
-	if parent != nil {
+	if parent := e.parent; parent != nil {
 		c.parent = parent
 		c.importance = parent.Importance
 		c.root = parent.Root
 		c.depth = parent.Depth + 1
 		o.graph.add(o.cfg.Clock.Now(), parent.Path, edge{
 			service: c.service,
-			path:    route.Name,
+			path:    e.route.Name,
 		})
 	}
 	return c
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -7,6 +7,7 @@
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/pick"
+	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -142,6 +143,14 @@
 	return s.picker.MinThreshold(now, path)
 }
 
+// allWouldRefuse reports whether every target would refuse a request of the path, as far
+// as they have stated their thresholds.
+func (s *service) allWouldRefuse(now clock.Milli, path string, importance rules.Importance, root uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.AllWouldRefuse(now, path, importance, root)
+}
+
 // applyFeedback records the end that a target's daemon announced, and passes the load
 // and the threshold that it reported to the picker. s.mu must be held.
 func (s *service) applyFeedback(now clock.Milli, target, op string, fb peer.Feedback) {
