Take an answer without a valid status for none in pkg/client and siskinctl

Two readers still did, since the library takes 000 for 200: pkg/client, where an answer with 000, 099 or 600 counted as complete, also behind an interim answer, and siskinctl, which took a report behind 000. pkg/client now checks the status of each answer itself, because packages in pkg import none of internal; siskinctl uses the check of internal/proto/head.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinswitch.example/siskin/internal/proto/admin"
+	"siskinswitch.example/siskin/internal/proto/head"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -37,12 +38,40 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			NoDefaultUserAgentHeader:  true,
 			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, wait)
+				conn, err := fasthttp.DialTimeout(addr, wait)
+				if err != nil {
+					return nil, err
+				}
+				return &checkedConn{
+					Conn: conn,
+				}, nil
 			},
 		},
 	}
 }
 
+// checkedConn is a connection on which a malformed head of an answer is an error. The
+// library takes the status 000 for 200.
+type checkedConn struct {
+	net.Conn
+	heads head.Stream
+}
+
+// Write begins a request or goes on with it.
+func (c *checkedConn) Write(b []byte) (int, error) {
+	c.heads.Begin()
+	return c.Conn.Write(b)
+}
+
+// Read reads a part of an answer.
+func (c *checkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if broken := c.heads.Check(b[:n]); broken != nil {
+		return 0, broken
+	}
+	return n, err
+}
+
 // get returns the body of the answer to a GET request. The error is always of
 // kind KindNoAnswer.
 func (c *client) get(addr, path string) ([]byte, error) {
--- a/pkg/client/http.go
+++ b/pkg/client/http.go
@@ -93,17 +93,20 @@
 
 // replyConn reports io.ErrUnexpectedEOF if the connection ends after the first byte
 // of an answer. The library would otherwise accept a body that is delimited only by
-// the end of the connection, and which may therefore be incomplete.
+// the end of the connection, and which may therefore be incomplete. It reports errStatus
+// if the answer has no valid status.
 type replyConn struct {
 	net.Conn
 	// inReply is set from the first byte of an answer until the next message is
 	// sent.
 	inReply bool
+	status  statusCheck
 }
 
 // Write implements net.Conn.
 func (c *replyConn) Write(b []byte) (int, error) {
 	c.inReply = false
+	c.status = statusCheck{}
 	return c.Conn.Write(b)
 }
 
@@ -113,6 +116,9 @@
 	if n > 0 {
 		c.inReply = true
 	}
+	if broken := c.status.add(b[:n]); broken != nil {
+		return 0, broken
+	}
 	if errors.Is(err, io.EOF) && c.inReply {
 		err = io.ErrUnexpectedEOF
 	}
--- a/pkg/client/http_test.go
+++ b/pkg/client/http_test.go
@@ -64,6 +64,28 @@
 		"interrupted between chunks": {
 			raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 		},
+		"whole, after an interim answer": {
+			raw:   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSiskin-Outcome: done\r\nContent-Length: 2\r\n\r\nok",
+			whole: true,
+		},
+		"status 000": {
+			raw: "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
+		"status 000, after an interim answer": {
+			raw: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
+		"status 099": {
+			raw: "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
+		"status 600": {
+			raw: "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
+		"status of two digits": {
+			raw: "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
+		"status of four digits": {
+			raw: "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok",
+		},
 		"ended by the connection alone": {
 			raw: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
 		},
