List all that is wrong with a configuration of the platform before it is sent

The new package internal/state/lint judges a draft: the configuration as it is written, which platform decodes with all its errors. It tells errors apart from warnings and compares two drafts, with keys as digests, so that no report can have one. Warnings do not change the exit code; a version that is not higher is an error. Errors lose the prefix "platform: decode configuration", so one row of TestRun expects the new text.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -9,18 +9,24 @@
 
 	"siskinswitch.example/siskin/internal/proto/config"
 	"siskinswitch.example/siskin/internal/proxy"
+	"siskinswitch.example/siskin/internal/state/lint"
 	"siskinswitch.example/siskin/internal/state/rules"
-	"siskinswitch.example/siskin/platform"
 )
 
-const checkHelp = `siskinctl check [--json] [--kind document] FILE...
+const checkHelp = `siskinctl check [--json] [--kind document] [--against FILE] FILE...
   Checks documents and lists everything that is wrong with each, with its path.
   FILE may be - for the standard input. With --kind settings the files are the
-  settings of a daemon on the users' platform, with --kind record the
-  configuration as their store holds it; of these the first fault is listed.
-  Exit code 0 if all are good, 1 if one is refused, 2 for wrong usage.
+  settings of a daemon on the users' platform, of which the first fault is
+  listed. With --kind record they are the configuration as their store holds it:
+  errors are what daemons refuse it for, warnings what they take but what is
+  hardly meant, such as a route that can never match. With --against the changes
+  over the record FILE, the version in force, are listed, too; a version that is
+  not higher is an error. Keys are counted and never shown.
+  Exit code 0 if all are good, warnings or not, 1 if one is refused, 2 for wrong
+  usage.
 
   Example: siskinctl check examples/xaalis.json
+  Example: siskinctl check --kind record --against inforce.json next.json
 `
 
 // Values of the flag --kind.
@@ -41,13 +47,16 @@
 	Instances int             `json:"instances,omitempty"`
 	Leaving   int             `json:"leaving,omitempty"`
 	Problems  []rules.Problem `json:"problems,omitempty"`
+	// Warnings and Changes are those of a record; Changes over another one.
+	Warnings []rules.Problem `json:"warnings,omitempty"`
+	Changes  []lint.Change   `json:"changes,omitempty"`
 	// summary describes the content of a valid file for the text report.
 	summary string
 }
 
 func checkCommand(env Env) *Command {
 	var asJSON bool
-	var kind string
+	var kind, against string
 	return &Command{
 		Keyword: "check",
 		Short:   "check documents and list what is wrong with them",
@@ -56,24 +65,34 @@
 		Flags: func(f *flag.FlagSet) {
 			f.BoolVar(&asJSON, "json", false, "report as JSON")
 			f.StringVar(&kind, "kind", kindDocument, "what the files are: document, settings or record")
+			f.StringVar(&against, "against", "", "the record in force, to list what records change over it")
 		},
 		Do: func(_ context.Context, args []string) error {
-			return check(env, args, kind, asJSON)
+			return check(env, args, kind, against, asJSON)
 		},
 	}
 }
 
-func check(env Env, files []string, kind string, asJSON bool) error {
+// fileChecker checks one file.
+type fileChecker func(env Env, op, file string) checkResult
+
+func check(env Env, files []string, kind, against string, asJSON bool) error {
 	const op = "check"
-	checkers := map[string]func(env Env, op, file string) checkResult{
+	records := recordChecker{
+		against: against,
+	}
+	checkers := map[string]fileChecker{
 		kindDocument: checkDocument,
 		kindSettings: checkSettings,
-		kindRecord:   checkRecord,
+		kindRecord:   records.check,
 	}
 	checkFile, ok := checkers[kind]
 	if !ok {
 		return usageError(op, "there is no kind %q", kind)
 	}
+	if against != "" && kind != kindRecord {
+		return usageError(op, "--against is only for --kind %s", kindRecord)
+	}
 	if len(files) == 0 {
 		return usageError(op, "no file is named")
 	}
@@ -123,27 +142,6 @@
 	}
 }
 
-// checkRecord checks a configuration in the form in which the platform's store
-// holds it.
-func checkRecord(env Env, op, file string) checkResult {
-	data, err := env.readDocument(op, file)
-	if err != nil {
-		return refusedResult(file, 0, causeText(err))
-	}
-	c, err := platform.DecodeConfig(data)
-	if err != nil {
-		return refusedResult(file, len(data), err.Error())
-	}
-	return checkResult{
-		File:     file,
-		Good:     true,
-		Version:  c.Version,
-		Bytes:    len(data),
-		Services: len(c.Services),
-		summary:  fmt.Sprintf("version %d, %s", c.Version, pluralize(len(c.Services), "service")),
-	}
-}
-
 // checkDocument checks a configuration document. For a file that cannot be
 // read, the read error is listed as its only problem.
 func checkDocument(env Env, op, file string) checkResult {
@@ -181,13 +179,14 @@
 func resultsText(env Env, results []checkResult) string {
 	var b strings.Builder
 	for _, result := range results {
+		for _, p := range result.Problems {
+			fmt.Fprintf(&b, "%s: %s\n", result.File, p)
+		}
+		writeRecordFindings(&b, env, result)
 		if result.Good {
 			fmt.Fprintf(&b, "%s: good: %s\n", result.File, result.summary)
 			continue
 		}
-		for _, p := range result.Problems {
-			fmt.Fprintf(&b, "%s: %s\n", result.File, p)
-		}
 		fmt.Fprintf(&b, "%s: %s: %s\n", result.File, env.red("refused"), pluralize(len(result.Problems), "problem"))
 	}
 	return b.String()
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -28,6 +28,14 @@
 `
 )
 
+// recordInForce is a configuration in the form of the platform's store.
+const recordInForce = `{"version":"r7",
+"limits":{"max-header-bytes":9000,"max-body-bytes":9000,"header-timeout-ms":900,"idle-timeout-ms":900},
+"tenants":[{"name":"hut","api-keys":["k-secret","k-secret-1"]}],
+"clusters":[{"name":"s"},{"name":"idle"}],
+"listeners":[{"host":"h","rules":[{"name":"a","kind":"safe","match":{"prefix":"/a"},
+"action":{"service":"s","timeout-ms":900}}]}]}`
+
 // run runs a command line in a directory with a few documents, registers and
 // logs. The standard input holds the sample document.
 func run(t *testing.T, commandLine string) (code int, out, stderr string) {
@@ -53,6 +61,9 @@
 		"host-2.log":  logOfTarget,
 		"side.json":   `{"name":"h1","centre":"c1","region":"r1","service":"s","address":"10.0.0"}`,
 		"record.json": `{"version":"seven","limits":{}}`,
+		"now.json":    recordInForce,
+		"next.json":   strings.NewReplacer(`"r7"`, `"r8"`, `"k-secret-1"`, `"k-secret-2"`, `"/a"`, `"/"`).Replace(recordInForce),
+		"wrong.json":  strings.NewReplacer(`"safe"`, `"sound"`, `"r7"`, `"r-7"`, `"timeout-ms":900`, `"timeout-ms":-1`).Replace(recordInForce),
 	}
 	t.Chdir(t.TempDir())
 	for name, text := range files {
@@ -180,7 +191,44 @@
 		"check a record of the platform": {
 			line: "check --kind record record.json",
 			code: 1,
-			out:  "record.json: platform: ",
+			out:  "record.json: version: strconv.ParseUint: parsing \"seven\": invalid syntax\n",
+		},
+		"check a record of the platform lists all errors": {
+			line: "check --kind record wrong.json",
+			code: 1,
+			out: "wrong.json: version: strconv.ParseUint: parsing \"-7\": invalid syntax\n" +
+				"wrong.json: host h, rule a: field timeout-ms: -1 is not between 0 and 8.64e+07\n" +
+				"wrong.json: host h, rule a: unknown kind \"sound\"\n" +
+				"wrong.json: WARNING: service idle: no route uses it\n" +
+				"wrong.json: refused: 3 problems\n",
+		},
+		"check a record with a warning": {
+			line: "check --kind record now.json",
+			out: "now.json: WARNING: service idle: no route uses it\n" +
+				"now.json: good: version 7, 2 services, 1 warning\n",
+		},
+		"check a record against the one in force": {
+			line: "check --kind record --against now.json next.json",
+			out: "next.json: CHANGES: host h, route a: prefix: /a to /\n" +
+				"next.json: CHANGES: account hut: keys withdrawn: 1 of 2\n" +
+				"next.json: changes: account hut: keys added: 1\n" +
+				"next.json: WARNING: service idle: no route uses it\n" +
+				"next.json: good: version 8, 2 services, 1 warning, 3 changes\n",
+		},
+		"check a record against itself": {
+			line: "check --kind record --against now.json now.json",
+			code: 1,
+			out:  "now.json: version: 7 is not above 7, the version in force",
+		},
+		"check a record against a faulty one": {
+			line: "check --kind record --against record.json next.json",
+			code: 1,
+			out:  "next.json: record.json: version: strconv.ParseUint",
+		},
+		"check a document against another": {
+			line: "check --against good.json good.json",
+			code: 2,
+			err:  "--against is only for --kind record",
 		},
 		"check another kind": {
 			line: "check --kind recipe good.json",
