Let the admission gate take its limit from what it learns of the target

Cause: the learner was not connected to anything.

Change: admit.Config.Learn and Gate.SetLearn put a learner in the place of the limiter; without them the limiter works as before. Gate.Finish tells the time in calls and the rejections by the target, which Done leaves out. The test of the limit passes the time that a request really took, for both ways.

--- a/internal/state/admit/admit.go
+++ b/internal/state/admit/admit.go
@@ -6,7 +6,8 @@
 //
 //   - The concurrency limit follows what the target can use. It never exceeds
 //     the target's slots and connections, and it shrinks only when fewer
-//     concurrent requests give the same throughput ([limiter]).
+//     concurrent requests give the same throughput ([limiter]). With
+//     [Config.Learn], it is found as package learn describes.
 //   - Under overload the queue is ordered by shedding rank: importance, then
 //     requests from deeper in the call graph before root requests, then the
 //     hash of the root request. All hops rank the same requests alike, so that
@@ -125,6 +126,9 @@
 	Window clock.Milli
 	// FixedLimit keeps the concurrency limit at its upper bound.
 	FixedLimit bool
+	// Learn takes the concurrency limit from a [learn.Learner]. FixedLimit has no
+	// effect then.
+	Learn bool
 }
 
 // Defaults of [Config].
--- a/internal/state/admit/gate.go
+++ b/internal/state/admit/gate.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -10,12 +11,14 @@
 
 // Gate admits requests to one target. See the package comment.
 type Gate struct {
-	cfg          Config
-	limiter      limiter
+	cfg     Config
+	limiter limiter
+	// learner sets the concurrency limit in place of limiter; nil is none.
+	learner      *learn.Learner
 	serviceTimes estimator
 	shedder      shedder
 	queues       [laneCount]queue
-	running      map[uint64]rules.Cost
+	running      map[uint64]slotOf
 	busy         [laneCount]int
 	overload     bool
 	draining     bool
@@ -26,6 +29,12 @@
 	evicted []Request
 }
 
+// slotOf is the slot of a running request.
+type slotOf struct {
+	cost   rules.Cost
+	ticket learn.Ticket
+}
+
 // New returns an open gate without requests.
 func New(cfg Config) *Gate {
 	cfg = cfg.withDefaults()
@@ -34,20 +43,58 @@
 		limiter:      newLimiter(cfg.MinLimit, min(cfg.Slots, cfg.Conns)),
 		serviceTimes: newEstimator(),
 		shedder:      newShedder(),
-		running:      make(map[uint64]rules.Cost),
+		running:      make(map[uint64]slotOf),
 	}
 	maxLen := cfg.QueueFactor * cfg.Slots
 	g.queues[rules.Short].maxLen = maxLen
 	g.queues[rules.Long].maxLen = maxLen
+	g.SetLearn(cfg.Learn)
 	return g
 }
 
+// SetLearn starts or ends learning about the target. What was learned before is
+// forgotten, and the limit begins at its upper bound again.
+func (g *Gate) SetLearn(on bool) {
+	if on == (g.learner != nil) {
+		return
+	}
+	ceiling := min(g.cfg.Slots, g.cfg.Conns)
+	g.limiter = newLimiter(g.cfg.MinLimit, ceiling)
+	g.learner = nil
+	if on {
+		g.learner = learn.New(learn.Config{
+			Floor:   g.cfg.MinLimit,
+			Ceiling: ceiling,
+			Running: len(g.running),
+		})
+	}
+}
+
+// Hint passes on what the target stated about its load. It is ignored while the gate
+// does not learn.
+func (g *Gate) Hint(now clock.Milli, s learn.Statement) {
+	if g.learner != nil {
+		g.learner.Hint(now, s)
+	}
+}
+
+// limit returns the concurrency limit that applies now.
+func (g *Gate) limit() int {
+	if g.learner != nil {
+		return g.learner.Limit()
+	}
+	return g.limiter.limit
+}
+
 // Offer asks for a slot for r. With the verdict [Run], r holds the slot at
 // once.
 func (g *Gate) Offer(now clock.Milli, r Request) Decision {
 	g.adjust(now)
 	g.stats.Offered++
 	g.evicted = g.evicted[:0]
+	if g.learner != nil && !g.hasSlot(rules.Short) {
+		g.learner.Wait(now)
+	}
 	expected := g.serviceTimes.expectedTime(now, &r)
 	if r.Cost == rules.Short {
 		g.shedder.addDemand(levelOf(r.Importance, r.RootHash), expected)
@@ -150,17 +197,44 @@
 // they cannot meet their deadlines; both are valid until the next call. It
 // ignores a request that holds no slot.
 func (g *Gate) Done(now clock.Milli, r Request, took clock.Milli) (start, expired []Request) {
-	cost, ok := g.running[r.Seq]
+	return g.Finish(now, r, Result{
+		Took: took,
+	})
+}
+
+// Result is how a request ended, for [Gate.Finish].
+type Result struct {
+	// Took is how long the request held its slot; a negative one is not learned from.
+	Took clock.Milli
+	// InCalls is the part of Took in which the request waited for calls of the target
+	// to other services.
+	InCalls clock.Milli
+	// Rejections is the number of times that the target rejected the request.
+	Rejections int
+}
+
+// Finish is [Gate.Done] with more of what is known of the request.
+func (g *Gate) Finish(now clock.Milli, r Request, res Result) (start, expired []Request) {
+	held, ok := g.running[r.Seq]
 	if !ok {
 		return nil, nil
 	}
 	delete(g.running, r.Seq)
-	g.busy[cost]--
+	g.busy[held.cost]--
 	g.stats.Done++
-	if took >= 0 {
-		g.serviceTimes.add(now, &r, took)
+	if res.Took >= 0 {
+		g.serviceTimes.add(now, &r, res.Took)
+	}
+	if g.learner == nil {
+		g.limiter.complete(g.queued() > 0)
+		return g.Tick(now)
 	}
-	g.limiter.complete(g.queued() > 0)
+	g.learner.Finish(now, held.ticket, learn.Outcome{
+		Path:       r.Path,
+		Took:       res.Took,
+		InCalls:    res.InCalls,
+		Rejections: res.Rejections,
+	})
 	return g.Tick(now)
 }
 
@@ -222,7 +296,13 @@
 }
 
 func (g *Gate) start(now clock.Milli, r *Request) {
-	g.running[r.Seq] = r.Cost
+	held := slotOf{
+		cost: r.Cost,
+	}
+	if g.learner != nil {
+		held.ticket = g.learner.Start(now)
+	}
+	g.running[r.Seq] = held
 	g.busy[r.Cost]++
 	g.stats.Started++
 	g.shedder.setBusy(now, g.busy[rules.Short])
@@ -230,7 +310,7 @@
 
 // hasSlot reports whether a request of the cost class may start.
 func (g *Gate) hasSlot(cost rules.Cost) bool {
-	if g.busy[rules.Short]+g.busy[rules.Long] >= g.limiter.limit {
+	if g.busy[rules.Short]+g.busy[rules.Long] >= g.limit() {
 		return false
 	}
 	return cost == rules.Short || g.busy[rules.Long] < g.laneLimit(rules.Long)
@@ -239,9 +319,9 @@
 // laneLimit returns the number of slots that a lane may use at present.
 func (g *Gate) laneLimit(cost rules.Cost) int {
 	if cost == rules.Long {
-		return max(1, g.limiter.limit*g.cfg.LongShare/100)
+		return max(1, g.limit()*g.cfg.LongShare/100)
 	}
-	return max(1, g.limiter.limit-g.busy[rules.Long])
+	return max(1, g.limit()-g.busy[rules.Long])
 }
 
 func (g *Gate) queued() int {
@@ -250,7 +330,10 @@
 
 // adjust ends the limiter's epoch and the shedder's window if they are over.
 func (g *Gate) adjust(now clock.Milli) {
-	if !g.cfg.FixedLimit {
+	switch {
+	case g.learner != nil:
+		g.learner.Tick(now)
+	case !g.cfg.FixedLimit:
 		g.limiter.tick(now)
 	}
 	s := &g.shedder
--- a/internal/state/admit/limiter_test.go
+++ b/internal/state/admit/limiter_test.go
@@ -21,6 +21,7 @@
 func (t contendedTarget) saturate(g *admit.Gate, span clock.Milli) int {
 	rng := rand.New(rand.NewPCG(1, 1))
 	ends := map[clock.Milli][]admit.Request{}
+	began := map[uint64]clock.Milli{}
 	running, done := 0, 0
 	seq := uint64(0)
 	begin := func(now clock.Milli, requests ...admit.Request) {
@@ -30,6 +31,7 @@
 			took := float64(t.serviceTime) * slow * (0.5 + rng.Float64())
 			end := now + max(1, clock.Milli(took))
 			r.ExpectedTime = 0
+			began[r.Seq] = now
 			ends[end] = append(ends[end], r)
 		}
 	}
@@ -39,7 +41,8 @@
 			if now > span/2 {
 				done++
 			}
-			started, _ := g.Done(now, r, t.serviceTime)
+			started, _ := g.Done(now, r, now-began[r.Seq])
+			delete(began, r.Seq)
 			begin(now, started...)
 		}
 		delete(ends, now)
@@ -64,6 +67,7 @@
 	)
 	tests := map[string]struct {
 		contendedTarget
+		learn           bool
 		atLeast, atMost int
 	}{
 		"all slots useful": {
@@ -90,11 +94,30 @@
 			atLeast: slots / 4 * 8 / 10,
 			atMost:  slots / 2,
 		},
+		"all slots useful, learning": {
+			contendedTarget: contendedTarget{
+				usefulSlots: slots,
+				serviceTime: 20,
+			},
+			learn:   true,
+			atLeast: 34,
+			atMost:  slots,
+		},
+		"a quarter useful, learning": {
+			contendedTarget: contendedTarget{
+				usefulSlots: slots / 4,
+				serviceTime: 20,
+			},
+			learn:   true,
+			atLeast: slots / 4 * 8 / 10,
+			atMost:  slots / 2,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := admit.New(admit.Config{
 				Slots: slots,
+				Learn: tt.learn,
 			})
 			got := tt.saturate(g, span)
 			fixed := tt.saturate(admit.New(admit.Config{
@@ -112,3 +135,39 @@
 		})
 	}
 }
+
+// Guards against a limit that stays lowered, or requests that are no longer counted,
+// where learning begins or ends while requests run.
+func TestSetLearnWhileRunning(t *testing.T) {
+	const slots = 4
+	g := admit.New(admit.Config{
+		Slots: slots,
+	})
+	now := clock.Second
+	seq := uint64(0)
+	fill := func() {
+		for {
+			seq++
+			if g.Offer(now, request(seq, rules.Vital, 0)).Verdict != admit.Run {
+				return
+			}
+		}
+	}
+	for _, on := range []bool{true, true, false, true} {
+		fill()
+		g.SetLearn(on)
+		st := g.Stats(now)
+		if st.IsLearning != on || st.Limit != slots {
+			t.Errorf("learning %t with limit %d, want %t with %d", st.IsLearning, st.Limit, on, slots)
+		}
+		for s := uint64(1); s <= seq; s++ {
+			now++
+			g.Finish(now, request(s, rules.Vital, 0), admit.Result{
+				Took: 20,
+			})
+		}
+		if !g.Idle() {
+			t.Error("requests are left")
+		}
+	}
+}
--- a/internal/state/admit/stats.go
+++ b/internal/state/admit/stats.go
@@ -1,13 +1,15 @@
 package admit
 
 import (
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // Stats holds the counters of a gate since it was made and its present state.
 type Stats struct {
-	// Limit is the concurrency limit of the gate.
+	// Limit is the concurrency limit of the gate. Those of the lanes differ from it
+	// during a trial of the learner.
 	Limit int
 	// Lanes is the state of each lane, by cost class.
 	Lanes [laneCount]Lane
@@ -24,6 +26,9 @@
 	// Evicted counts requests that were displaced from the queue by one of
 	// higher rank. They are also counted as refused with the reason QueueFull.
 	Evicted uint64
+	// IsLearning says that Learned holds what was learned of the target.
+	IsLearning bool
+	Learned    learn.State
 }
 
 // Lane is the state of one lane of a gate.
@@ -40,6 +45,11 @@
 func (g *Gate) Stats(now clock.Milli) Stats {
 	s := g.stats
 	s.Limit = g.limiter.limit
+	if g.learner != nil {
+		s.IsLearning = true
+		s.Learned = g.learner.State(now)
+		s.Limit = s.Learned.Limit
+	}
 	for cost := range g.queues {
 		s.Lanes[cost] = Lane{
 			Limit:   g.laneLimit(rules.Cost(cost)),
--- a/internal/state/learn/search.go
+++ b/internal/state/learn/search.go
@@ -95,13 +95,15 @@
 	}
 }
 
-// downPaid begins to narrow down to the bend if it lies between the limits. Otherwise
-// the next trial goes further down.
+// downPaid begins to narrow down to the bend if it lies between the limits: the loss
+// at the higher one is sharp, or a narrower trial from there showed none. Otherwise the
+// next trial goes further down.
 func (s *search) downPaid(t *trial) {
 	mean, _ := t.estimate()
+	isBetween := s.wide || mean > sharpBend*math.Log(float64(t.high)/float64(t.low))
 	s.wide = false
 	s.lastUp = true
-	if mean > sharpBend*math.Log(float64(t.high)/float64(t.low)) {
+	if isBetween {
 		s.bad = t.high
 		s.stopAtBad(t.low)
 	}
--- a/internal/trans/slot/slot.go
+++ b/internal/trans/slot/slot.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -71,6 +72,27 @@
 	g.signalAll(g.inner.Done(g.clock.Now(), req, took))
 }
 
+// Finish is Done with more of what is known of the request.
+func (g *Gate) Finish(req admit.Request, res admit.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.signalAll(g.inner.Finish(g.clock.Now(), req, res))
+}
+
+// SetLearn starts or ends learning about the target.
+func (g *Gate) SetLearn(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inner.SetLearn(on)
+}
+
+// Hint passes on what the target stated about its load.
+func (g *Gate) Hint(s learn.Statement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inner.Hint(g.clock.Now(), s)
+}
+
 // Cancel removes a queued request. It reports false if the request has received
 // its signal already.
 func (g *Gate) Cancel(req admit.Request) bool {
