Learn limit and speed of the target beside a daemon, and state its throughput

Cause: the servers of one service differ in speed, and some get slower before they are full; senders know nothing of either.

Change: the setting learn (on, off, auto; auto is on where the configuration has client accounts or upload routes) makes the gate learn about the target. The inbound side measures how long a request waits for calls of the target, from the calls that the outbound side sees, and passes on what the target states about its load. Answers between daemons state the learned limit and, in Siskin-Room, the throughput; the load report of a picker gets throughput and expected wait, which no choice uses yet. Events 403 to 405, gauges siskin_learned_speed and siskin_learned_throughput. With learning off nothing new is sent.

The tests of state, proto, trans, proxy, platform, ctl and daemon pass.

--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -56,6 +56,9 @@
 	Overload         = Event{Number: 400, Text: "target is overloaded and sheds work"}
 	Recovered        = Event{Number: 401, Text: "target is no longer overloaded"}
 	GuardFull        = Event{Number: 402, Text: "table of once-only requests was full"}
+	LimitLearned     = Event{Number: 403, Text: "concurrency limit of the target was learned"}
+	TargetSlow       = Event{Number: 404, Text: "target is far slower than usual"}
+	TargetUsual      = Event{Number: 405, Text: "target is about as fast as usual again"}
 	Answered         = Event{Number: 500, Text: "request answered"}
 	Attempt          = Event{Number: 501, Text: "attempt at the target ended"}
 	LinesOmitted     = Event{Number: 502, Text: "log lines left out"}
@@ -126,6 +129,9 @@
 		Overload,
 		Recovered,
 		GuardFull,
+		LimitLearned,
+		TargetSlow,
+		TargetUsual,
 		Answered,
 		Attempt,
 		LinesOmitted,
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -154,6 +154,8 @@
 	// Ends is the time until the daemon ends, 0 if it does not stop. It travels in
 	// [HeaderEnds].
 	Ends clock.Milli
+	// Room is what was learned of the target. It travels in [HeaderRoom].
+	Room Room
 	// Received says that the feedback came from the daemon beside the target.
 	// It is false for feedback that the sender infers, for example from a
 	// failed exchange, and it is not sent.
@@ -225,7 +227,8 @@
 	}, nil
 }
 
-// String returns f as the value of [HeaderFeedback]. Ends and Received are left out.
+// String returns f as the value of [HeaderFeedback]. Ends, Room and Received
+// are left out.
 func (f Feedback) String() string {
 	return strings.Join([]string{
 		strconv.Itoa(int(f.Outcome)),
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -109,8 +109,11 @@
 	reloadError string
 	// storeAnsweredAt is when the store last answered, 0 if it never has.
 	storeAnsweredAt atomic.Int64
-	cancel          context.CancelFunc
-	listeners       []*accept.Listener
+	// hasLearned says whether the daemon was learning about its target when the gauges
+	// were set last.
+	hasLearned bool
+	cancel     context.CancelFunc
+	listeners  []*accept.Listener
 }
 
 // New returns a daemon that neither listens nor follows the store yet. It also
@@ -156,6 +159,7 @@
 		OnProof:     d.freshness.onProof,
 		IsTrusted:   d.freshness.isTrusted,
 		IsBehind:    d.follower.IsBehind,
+		Statement:   platform.DecodeLoad,
 		Log:         log,
 		Metrics:     d.meter.flowMetrics(),
 		OnPanic:     d.contain,
@@ -256,6 +260,7 @@
 		Target:    t,
 		HasRecord: ok,
 		IsLate:    v.IsLate,
+		Learn:     d.settings.isLearning(v.Config),
 	}
 	if v.Config != nil {
 		u.Conns = v.Config.Services[d.settings.Service].Conns
@@ -377,7 +382,12 @@
 	if answeredAt := d.storeAnsweredAt.Load(); answeredAt > 0 {
 		age = now - clock.Milli(answeredAt)
 	}
-	d.meter.gauges(d.inbound.Stats(), d.viewTracker.view.Load(), age)
+	st := d.inbound.Stats()
+	if st.IsLearning || d.hasLearned {
+		d.meter.learned(st.Learned)
+	}
+	d.hasLearned = st.IsLearning
+	d.meter.gauges(st, d.viewTracker.view.Load(), age)
 	if d.freshness.isNeeded() {
 		proofAge, _ := d.freshness.Age(d.clock.Boot())
 		d.meter.proofAge(proofAge)
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -12,6 +12,7 @@
 
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/hold"
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/trans/flow"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -141,6 +142,12 @@
 	}
 }
 
+// learned sets the gauges of what was learned of the target.
+func (m *meter) learned(st learn.State) {
+	m.scope.Gauge("learned_speed").Update(st.Speed)
+	m.scope.Gauge("learned_throughput").Update(st.Throughput)
+}
+
 // memory sets the gauges of a pool of memory.
 func (m *meter) memory(pool string, st hold.Stats) {
 	scope := m.scope.Tagged(map[string]string{"pool": pool})
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -13,6 +13,7 @@
 
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/hold"
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -46,6 +47,7 @@
 	m.count("records_unreadable", "kind", "target")
 	m.count("malformed", "status", "400")
 	m.proofAge(clock.Second)
+	m.learned(learn.State{})
 	m.memory("answers", hold.Stats{})
 	m.gauges(admit.Stats{}, &model.View{}, unknownAge)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 
+	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -62,8 +63,19 @@
 	Ratio  float64 `json:"ratio"`
 	Window float64 `json:"window"`
 	Slack  float64 `json:"slack"`
+	// Learn says whether the daemon learns the concurrency limit and the speed of its
+	// target: "on", "off", or "auto", which is also the default and means that it does
+	// so where the configuration has client accounts or upload routes.
+	Learn string `json:"learn"`
 }
 
+// Values of [Settings.Learn].
+const (
+	learnOn   = "on"
+	learnOff  = "off"
+	learnAuto = "auto"
+)
+
 // The greatest values of numbers in the settings.
 const (
 	maxPort    = 65_535
@@ -217,6 +229,11 @@
 			return fmt.Errorf("settings: field %s: %v is above %v", n.name, n.value, n.most)
 		}
 	}
+	switch s.Learn {
+	case "", learnOn, learnOff, learnAuto:
+	default:
+		return fmt.Errorf("settings: field learn: %q is not on, off or auto", s.Learn)
+	}
 	if s.Centres[s.Centre] != s.Region {
 		return fmt.Errorf("settings: field centres: %s is not in %s", s.Centre, s.Region)
 	}
@@ -248,6 +265,18 @@
 
 func ofSeconds(n float64) clock.Milli { return clock.Milli(n * float64(clock.Second)) }
 
+// isLearning reports whether the daemon learns about its target with a configuration,
+// nil if none is known.
+func (s *Settings) isLearning(c *model.Config) bool {
+	switch s.Learn {
+	case learnOn:
+		return true
+	case learnOff:
+		return false
+	}
+	return c != nil && (c.Accounts.InForce() || c.HasUploads())
+}
+
 // inboundPort returns the port of the inbound listener, which is the same on
 // all hosts, or 0 if Inbound has no numeric port.
 func (s *Settings) inboundPort() int {
--- a/internal/state/admit/gate.go
+++ b/internal/state/admit/gate.go
@@ -211,6 +211,9 @@
 	InCalls clock.Milli
 	// Rejections is the number of times that the target rejected the request.
 	Rejections int
+	// IsFailure says that the target answered with a failure. It counts for the service
+	// times, but not as a request that the target completed.
+	IsFailure bool
 }
 
 // Finish is [Gate.Done] with more of what is known of the request.
@@ -229,9 +232,13 @@
 		g.limiter.complete(g.queued() > 0)
 		return g.Tick(now)
 	}
+	took := res.Took
+	if res.IsFailure {
+		took = -1
+	}
 	g.learner.Finish(now, held.ticket, learn.Outcome{
 		Path:       r.Path,
-		Took:       res.Took,
+		Took:       took,
 		InCalls:    res.InCalls,
 		Rejections: res.Rejections,
 	})
--- a/internal/state/learn/learn.go
+++ b/internal/state/learn/learn.go
@@ -114,8 +114,8 @@
 type Outcome struct {
 	// Path identifies comparable requests.
 	Path string
-	// Took is the time that the request was at the target; nothing is learned from a
-	// negative one, as of a cancelled request.
+	// Took is the time that the request was at the target, negative if it did not
+	// complete there.
 	Took clock.Milli
 	// InCalls is the part of Took in which the request waited for calls of the
 	// target to other services.
@@ -166,7 +166,7 @@
 func (l *Learner) Finish(now clock.Milli, t Ticket, o Outcome) {
 	l.integrate(now)
 	l.running = max(l.running-1, 0)
-	if t.running == 0 || o.Took < 0 && o.Rejections <= 0 {
+	if t.running == 0 {
 		return
 	}
 	concurrency := float64(t.running)
@@ -175,6 +175,7 @@
 	}
 	l.trial.addRejections(concurrency, o.Rejections)
 	if o.Took < 0 {
+		l.recent.addGivenUp(float64(now - t.startedAt))
 		return
 	}
 	own := float64(max(o.Took-max(o.InCalls, 0), 0))
--- a/internal/state/learn/recent.go
+++ b/internal/state/learn/recent.go
@@ -40,6 +40,8 @@
 	sum    sample
 	n      float64
 	doneAt clock.Milli
+	// isKnown is set once there were enough requests to tell a throughput.
+	isKnown bool
 	// isSlow is set while the target counts as slow; turnedAt is the instant since
 	// which the speed says otherwise, 0 while it agrees.
 	isSlow   bool
@@ -54,11 +56,20 @@
 	r.doneAt = now
 }
 
+// addGivenUp adds a request that ended without completion. One that ended sooner than
+// others complete says nothing of the target.
+func (r *recent) addGivenUp(held float64) {
+	if r.isKnown && held*r.n > r.sum.took {
+		r.sum.took += held
+	}
+}
+
 func (r *recent) tick(now clock.Milli) {
 	r.updateSlow(now)
 	if r.n < minRecent {
 		return
 	}
+	r.isKnown = true
 	r.sum.took *= recentDecay
 	r.sum.own *= recentDecay
 	r.sum.usual *= recentDecay
@@ -82,7 +93,7 @@
 
 // speed returns the present speed as a multiple of the usual one, 0 if unknown.
 func (r *recent) speed() float64 {
-	if r.n < minRecent || r.sum.own <= 0 {
+	if !r.isKnown || r.sum.own <= 0 {
 		return 0
 	}
 	return r.sum.usual / r.sum.own
@@ -98,7 +109,7 @@
 // if unknown.
 func (r *recent) throughput(now clock.Milli, running, limit int) float64 {
 	gap := now - r.doneAt
-	if r.n < minRecent || running == 0 && gap >= unknownAfter {
+	if !r.isKnown || running == 0 && gap >= unknownAfter {
 		return 0
 	}
 	took := max(r.sum.took/r.n, leastUsual)
--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -64,6 +64,8 @@
 	LatencyGoal clock.Milli
 	// Priority orders routes by importance; 0 is the most important.
 	Priority int
+	// Upload says that requests have large bodies.
+	Upload bool
 	// Public says that callers need no key, also where client accounts are in
 	// force.
 	Public bool
@@ -90,6 +92,18 @@
 	return nil, false
 }
 
+// HasUploads reports whether a route has uploads.
+func (c *Config) HasUploads() bool {
+	for _, routes := range c.Hosts {
+		for i := range routes {
+			if routes[i].Upload {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // SortRoutes sorts the routes of each host by prefix length, longest first, as
 // Match requires.
 func (c *Config) SortRoutes() {
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -148,6 +148,12 @@
 type LoadReport struct {
 	Short Lane
 	Long  Lane
+	// Throughput is the number of calls that the target completes in a second at its
+	// limit; 0 is unknown.
+	Throughput float64
+	// Wait is how long one more call is expected to wait for a slot. It means nothing
+	// where Throughput is unknown.
+	Wait clock.Milli
 	// Age is the time since the target made the report.
 	Age clock.Milli
 }
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/valyala/fasthttp"
+
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
@@ -48,8 +50,10 @@
 	start := n.cfg.Clock.Now()
 	p.waited = start - now
 	n.cfg.Metrics.SlotWait(p.waited)
-	runTime := clock.Milli(-1)
-	defer func() { gate.Done(req, runTime) }()
+	res := admit.Result{
+		Took: -1,
+	}
+	defer func() { gate.Finish(req, res) }()
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, peer.ReasonCanceled)
 	}
@@ -64,16 +68,22 @@
 		return n.refuse(r, hop, "fenced")
 	}
 	n.recordSend(p)
-	a, fb := n.sendToTarget(ctx, r, hop, deadline)
+	a, fb := n.sendToTarget(ctx, r, hop, deadline, p)
 	for n.mayRetryTarget(ctx, hop, fb, deadline) {
+		res.Rejections++
 		hop.Repeat = true
 		n.recordSend(p)
-		a, fb = n.sendToTarget(ctx, r, hop, deadline)
+		a, fb = n.sendToTarget(ctx, r, hop, deadline, p)
 	}
 	n.recordOutcome(hop, a, fb)
 	n.cfg.Metrics.TargetTime(n.cfg.Clock.Now() - start)
-	if fb.Outcome == peer.Done {
-		runTime = n.cfg.Clock.Now() - start
+	switch {
+	case fb.Outcome == peer.Done:
+		res.Took = n.cfg.Clock.Now() - start
+		res.InCalls = p.inCalls
+		res.IsFailure = a.Status >= fasthttp.StatusInternalServerError
+	case fb.Reason == peer.ReasonTargetRefused:
+		res.Rejections++
 	}
 	return a, fb
 }
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -284,6 +284,7 @@
 	}
 	a.Fields = http1.WithoutField(a.Fields, peer.HeaderFeedback)
 	fb.Ends, a.Fields = o.cfg.takeEnds(a.Fields)
+	fb.Room, a.Fields = takeRoom(a.Fields)
 	return a, fb
 }
 
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -26,6 +26,7 @@
 
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/rescue"
 	"siskinswitch.example/siskin/internal/state/rules"
@@ -92,6 +93,9 @@
 	// whether another daemon knows a change that this one does not.
 	IsTrusted func() bool
 	IsBehind  func() bool
+	// Statement reads what a target states about its load, and reports false if it is
+	// not readable. It is optional.
+	Statement func(value string) (learn.Statement, bool)
 	Log       *zap.Logger
 	Metrics   Metrics
 	// OnPanic is called with a panic that cost one exchange; nil ignores them.
@@ -124,6 +128,9 @@
 	if c.IsBehind == nil {
 		c.IsBehind = func() bool { return false }
 	}
+	if c.Statement == nil {
+		c.Statement = func(string) (learn.Statement, bool) { return learn.Statement{}, false }
+	}
 	return c
 }
 
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -73,6 +73,9 @@
 	// actualID is the id that the target or its record reported last, "" if
 	// unknown.
 	actualID string
+	// learn says that the gate learns about the target.
+	learn    bool
+	learnLog learnLog
 	// leavingSince is the instant at which it became known that the target
 	// leaves, or that its record is gone. It is 0 while the target is in use.
 	leavingSince clock.Milli
@@ -135,6 +138,9 @@
 	if fb.Ends > 0 {
 		a.Fields = http1.WithField(a.Fields, peer.HeaderEnds, peer.FormatEnds(fb.Ends))
 	}
+	if !fb.Room.IsUnknown() {
+		a.Fields = http1.WithField(a.Fields, peer.HeaderRoom, fb.Room.String())
+	}
 	return http1.Reply{
 		Answer: a,
 	}
@@ -159,6 +165,8 @@
 	// leaving is how long the target had been known to leave when the request
 	// was sent to it last, 0 if it was not leaving or nothing was sent.
 	leaving clock.Milli
+	// inCalls is how long it waited for calls of the target to other services.
+	inCalls clock.Milli
 }
 
 // log writes one line about an attempt. Successful attempts are sampled by the
@@ -269,6 +277,9 @@
 		Threshold: st.Threshold,
 		Stamp:     n.table.Stamp(n.cfg.Clock.Now()),
 		Ends:      ends,
+		Room: peer.Room{
+			Throughput: st.Learned.Throughput,
+		},
 	}
 	if outcome == peer.NotRun {
 		fb.Wait = max(minRetryAfter, st.ExpectedTime)
@@ -295,6 +306,8 @@
 	IsLate bool
 	// Conns is the number of connections that the target accepts, 0 if unknown.
 	Conns int
+	// Learn says that the limit and the speed of the target are to be learned.
+	Learn bool
 }
 
 // SetTarget updates the record of the target. A target that never had a record
@@ -304,6 +317,8 @@
 	t := u.Target
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.learn = u.Learn
+	n.gate.SetLearn(u.Learn)
 	if !u.HasRecord || t.Leaving {
 		if u.HasRecord || n.targetRecord.ID != "" {
 			n.recordLeave(u.IsLate)
@@ -319,7 +334,9 @@
 	n.gate = slot.New(admit.Config{
 		Slots: max(t.Slots, 1),
 		Conns: u.Conns,
+		Learn: u.Learn,
 	}, n.cfg.Clock)
+	n.learnLog = learnLog{}
 	n.targetClient.Drop(n.cfg.Self.TargetAddr)
 }
 
@@ -374,6 +391,7 @@
 		gate.WithdrawQueued()
 	}
 	gate.Tick()
+	n.logLearned(now)
 	n.table.Sweep(now)
 	n.targetClient.Sweep()
 }
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -129,6 +129,9 @@
 	if parent == nil {
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
+	} else {
+		parent.calls.begin(r.Arrived)
+		defer func() { parent.calls.end(o.cfg.Clock.Now()) }()
 	}
 	v := o.cfg.View()
 	if v.Config == nil || !v.Fleet.Loaded {
--- a/internal/trans/flow/parent.go
+++ b/internal/trans/flow/parent.go
@@ -2,10 +2,12 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/rules"
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // Parent is a request in progress at the target. The calls that the target
@@ -22,6 +24,46 @@
 	Account string
 	// callFailed is set when one of its calls failed.
 	callFailed atomic.Bool
+	calls      callTime
+}
+
+// callTime measures the time in which at least one call of a request is in progress.
+// The zero value is ready for use, and safe for concurrent use.
+type callTime struct {
+	mu         sync.Mutex
+	inProgress int
+	since      clock.Milli
+	total      clock.Milli
+}
+
+// begin records the begin of a call.
+func (c *callTime) begin(now clock.Milli) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress == 0 {
+		c.since = now
+	}
+	c.inProgress++
+}
+
+// end records the end of a call.
+func (c *callTime) end(now clock.Milli) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress--
+	if c.inProgress == 0 {
+		c.total += now - c.since
+	}
+}
+
+// until returns the time up to now.
+func (c *callTime) until(now clock.Milli) clock.Milli {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress == 0 {
+		return c.total
+	}
+	return c.total + now - c.since
 }
 
 // addRunning records that a request is in progress at the target.
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -150,6 +150,8 @@
 			Running: fb.Running,
 			Limit:   fb.Limit,
 		},
+		Throughput: fb.Room.Throughput,
+		Wait:       expectedWait(&fb),
 	})
 	s.picker.ReportThreshold(now, target, op, fb.Threshold)
 	if fb.Ends == 0 {
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -14,8 +14,8 @@
 )
 
 // sendToTarget makes one exchange with the target and returns its answer and
-// outcome.
-func (n *Inbound) sendToTarget(ctx context.Context, r *http1.Request, hop peer.Hop, deadline clock.Milli) (guard.Answer, peer.Feedback) {
+// outcome. It adds to p the time that the request waited for calls of the target.
+func (n *Inbound) sendToTarget(ctx context.Context, r *http1.Request, hop peer.Hop, deadline clock.Milli, p *passage) (guard.Answer, peer.Feedback) {
 	h := &n.cfg.Headers
 	out := *r
 	out.Fields = http1.WithField(r.Fields, h.Expected, hop.Target)
@@ -27,6 +27,8 @@
 	run := n.addRunning(r.Get(h.ID), r.Get(h.Account), hop)
 	a, err := n.targetClient.Do(ctx, n.cfg.Self.TargetAddr, &out, o)
 	n.removeRunning(r.Get(h.ID))
+	p.inCalls += run.calls.until(n.cfg.Clock.Now())
+	n.takeStatement(http1.Get(a.Fields, h.Load))
 	a, fb := n.classify(r, a, err)
 	fb.ReachedTarget = fb.Reason != peer.ReasonUnreached
 	if a.Status >= fasthttp.StatusInternalServerError && run.callFailed.Load() {
