--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -26,6 +26,7 @@
 
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
+	"siskinswitch.example/siskin/internal/state/learn"
 	"siskinswitch.example/siskin/internal/state/model"
 	"siskinswitch.example/siskin/internal/state/quota"
 	"siskinswitch.example/siskin/internal/state/rescue"
@@ -96,6 +97,9 @@
 	// whether another daemon knows a change that this one does not.
 	IsTrusted func() bool
 	IsBehind  func() bool
+	// Statement reads what a target states about its load, and reports false if it is
+	// not readable. It is optional.
+	Statement func(value string) (learn.Statement, bool)
 	Log       *zap.Logger
 	Metrics   Metrics
 	// OnPanic is called with a panic that cost one exchange; nil ignores them.
@@ -134,6 +138,9 @@
 	if c.Metrics.Quota == nil {
 		c.Metrics.Quota = func(string) {}
 	}
+	if c.Statement == nil {
+		c.Statement = func(string) (learn.Statement, bool) { return learn.Statement{}, false }
+	}
 	return c
 }
 
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -136,6 +136,9 @@
 	if parent == nil {
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
+	} else {
+		parent.calls.begin(r.Arrived)
+		defer func() { parent.calls.end(o.cfg.Clock.Now()) }()
 	}
 	e, refused := o.enter(r, id, parent)
 	if refused != nil {
