--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -74,6 +74,9 @@
 	// Quota reports a message about rate limits and what became of it; nil ignores
 	// them.
 	Quota func(result string)
+	// StatementIgnored reports a statement of another daemon that could not be used,
+	// by its kind. It is optional.
+	StatementIgnored func(kind string)
 }
 
 // Config configures both sides.
@@ -123,6 +126,9 @@
 
 // withDefaults returns c with the optional functions set.
 func (c Config) withDefaults() Config {
+	if c.Metrics.StatementIgnored == nil {
+		c.Metrics.StatementIgnored = func(string) {}
+	}
 	if c.Proof == nil {
 		c.Proof = func() (peer.Fresh, bool) { return peer.Fresh{}, false }
 	}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -217,7 +217,8 @@
 	route   *model.Route
 	view    *model.View
 	service string
-	// importance and root determine the shedding rank at gates.
+	// importance and root determine the shedding rank at gates. root is the hash of
+	// the id of the caller's request, or its order among the client accounts.
 	importance rules.Importance
 	root       uint64
 	depth      int
@@ -260,6 +261,9 @@
 			path:    e.route.Name,
 		})
 	}
+	if e.parent == nil {
+		c.root = o.local.ranks.order(r.Arrived, e.view, e.who, c.importance, c.root)
+	}
 	return c
 }
 
