Give the configuration of a test its optional functions

TestQuotaMessagesFromOutside builds its limiter without the constructors of both sides, which set them. It ended with a nil function since the answers of lenders carry proofs.

--- a/internal/trans/flow/quota_test.go
+++ b/internal/trans/flow/quota_test.go
@@ -79,7 +79,7 @@
 			Slack:  20,
 		},
 		Incarnation: 1,
-	}
+	}.withDefaults()
 	l.limiter = newLimiter(&cfg, nil)
 	return l
 }
