Find the knee of a target sooner, and with uneven work

Cause: with work of exponentially distributed length the knee was not found: long requests ran in two phases and were left out, more of them at the limit that slows them. A knee at 0.95 of 40 slots was found in two steps, the second of which took up to 2 s more.

Change: the length of a phase follows the spread of the times too; the first step is a tenth of the slots, and the first trials follow each other sooner. The test wants the limit at 2 s to give 0.95 of the best throughput.

--- a/internal/state/learn/learn.go
+++ b/internal/state/learn/learn.go
@@ -28,10 +28,12 @@
 const (
 	// tickEvery is the time between two evaluations of the recent requests.
 	tickEvery = 100 * clock.Millisecond
-	// minRest and maxRest bound the time between two trials. It doubles with each
-	// trial that changes nothing.
-	minRest = 500 * clock.Millisecond
-	maxRest = 4 * clock.Second
+	// firstRest is the time between the first two trials, when nothing is known yet. It
+	// doubles with each trial that changes nothing, up to maxRest. After a change it
+	// begins with minRest again.
+	firstRest = tickEvery
+	minRest   = 500 * clock.Millisecond
+	maxRest   = 4 * clock.Second
 	// statementLifetime is the age up to which a statement of the target counts.
 	statementLifetime = clock.Second
 	// forgetAfter is the time without a waiting request after which a lowered limit
@@ -97,7 +99,7 @@
 		search:      newSearch(ceiling),
 		usual:       newUsualTimes(),
 		running:     cfg.Running,
-		rest:        minRest,
+		rest:        firstRest,
 		statementAt: -statementLifetime,
 	}
 }
--- a/internal/state/learn/learn_test.go
+++ b/internal/state/learn/learn_test.go
@@ -288,6 +288,10 @@
 			if share < 0.95 {
 				t.Errorf("%.3f of the throughput of the best fixed limit %d, want 0.95", share, best)
 			}
+			found := res.states[measureFrom/100-1].Limit
+			if s := float64(ld.run(nil, found, seed).done) / float64(most); s < 0.95 {
+				t.Errorf("the limit %d after 2 s gives %.3f of the best throughput, want 0.95", found, s)
+			}
 			if moves > 1 || high-low > max(1, ld.slots/16) {
 				t.Errorf("%d moves between %d and %d in the last 10 s, want rest", moves, low, high)
 			}
--- a/internal/state/learn/recent.go
+++ b/internal/state/learn/recent.go
@@ -22,12 +22,16 @@
 	slowBelow  = 0.5
 	usualAbove = 0.8
 	slowTime   = clock.Second
-	// minPhase and maxPhase bound the length of a phase of a trial, which is a
-	// multiple of the time that requests take, so that most run within one phase.
-	minPhase     = 40 * clock.Millisecond
-	maxPhase     = 400 * clock.Millisecond
-	phaseFactor  = 2.0
-	defaultPhase = 100 * clock.Millisecond
+	// minPhase and maxPhase bound the length of a phase of a trial. It is phaseFactor
+	// times the time within which nearly all requests end, phaseDeviations standard
+	// deviations above the mean: requests that run in two phases count for neither, and
+	// if these were many, the limit that slows requests would seem to have fewer long
+	// ones.
+	minPhase        = 40 * clock.Millisecond
+	maxPhase        = 400 * clock.Millisecond
+	phaseFactor     = 1.5
+	phaseDeviations = 2
+	defaultPhase    = 100 * clock.Millisecond
 )
 
 // sample holds the times of one request in milliseconds.
@@ -37,9 +41,11 @@
 
 // recent sums up the requests of the last half second or so.
 type recent struct {
-	sum    sample
-	n      float64
-	doneAt clock.Milli
+	sum sample
+	n   float64
+	// squares is the sum of the squares of the times that requests took.
+	squares float64
+	doneAt  clock.Milli
 	// isKnown is set once there were enough requests to tell a throughput.
 	isKnown bool
 	// isSlow is set while the target counts as slow; turnedAt is the instant since
@@ -52,6 +58,7 @@
 	r.sum.took += s.took
 	r.sum.own += s.own
 	r.sum.usual += s.usual
+	r.squares += s.took * s.took
 	r.n++
 	r.doneAt = now
 }
@@ -73,6 +80,7 @@
 	r.sum.took *= recentDecay
 	r.sum.own *= recentDecay
 	r.sum.usual *= recentDecay
+	r.squares *= recentDecay
 	r.n *= recentDecay
 }
 
@@ -130,5 +138,7 @@
 	if r.n < minRecent {
 		return defaultPhase
 	}
-	return min(maxPhase, max(minPhase, clock.Milli(phaseFactor*r.sum.took/r.n)))
+	mean := r.sum.took / r.n
+	deviation := math.Sqrt(max(r.squares/r.n-mean*mean, 0))
+	return min(maxPhase, max(minPhase, clock.Milli(phaseFactor*(mean+phaseDeviations*deviation))))
 }
--- a/internal/state/learn/search.go
+++ b/internal/state/learn/search.go
@@ -5,7 +5,7 @@
 const (
 	// largeParts and smallParts are the parts of the ceiling that the largest first
 	// step and the smallest step have.
-	largeParts = 8
+	largeParts = 10
 	smallParts = 40
 	// wideParts is the part of the limit that the widest trial below it spans.
 	wideParts = 4
