Look for lenders before the first request that needs one

Members were read at a tick, so that a request in the first 50 ms of a daemon found no lender and got 503 within its limit. It now gets a token of the initial share (TestRequestBeforeTheFirstTick).

--- a/internal/trans/flow/quota.go
+++ b/internal/trans/flow/quota.go
@@ -86,7 +86,7 @@
 // gets none.
 func (l *limiter) take(ctx context.Context, v *model.View, account string) quota.Decision {
 	l.refreshAccounts(v.Config)
-	d, done := l.tryTake(account)
+	d, done := l.tryTake(v, account)
 	if done == nil {
 		return d
 	}
@@ -107,10 +107,15 @@
 
 // tryTake takes a token if one is at hand. Otherwise it returns a channel that receives
 // the decision.
-func (l *limiter) tryTake(account string) (quota.Decision, chan quota.Decision) {
+func (l *limiter) tryTake(v *model.View, account string) (quota.Decision, chan quota.Decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := l.borrower.Take(l.cfg.Clock.Now(), account)
+	now := l.cfg.Clock.Now()
+	if l.membersAt == 0 {
+		// The request comes before the first tick.
+		l.refreshMembers(now, v)
+	}
+	d := l.borrower.Take(now, account)
 	if d.Verdict != quota.Wait {
 		return d, nil
 	}
--- a/internal/trans/flow/quota_test.go
+++ b/internal/trans/flow/quota_test.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// Guards against a daemon that answers 503 because it has not looked for lenders yet.
+func TestRequestBeforeTheFirstTick(t *testing.T) {
+	l := newTestLimiter(t)
+	if d := l.take(t.Context(), l.view, "hut"); d.Verdict != quota.Run {
+		t.Errorf("verdict %d, want the token of the initial share", d.Verdict)
+	}
+}
+
 // Guards against the loss of the token of a request that did not run.
 func TestTokenOfARequestThatDidNotRunIsUsedAgain(t *testing.T) {
 	l := newTestLimiter(t)
