Estimate when a call ends at a target

Cause: load over slots says nothing of how long one more call takes at a target; targets of one service differ in speed, and the choice treats them alike until they are full.

The decisions' bench gets data centres of uneven targets and demand.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -35,6 +35,22 @@
 	// LongLane gives long requests a lane of their own. Without it they compete
 	// with short ones.
 	LongLane bool
+	// OwnCentreFirst prefers the own data centre as the platform does.
+	OwnCentreFirst bool
+	// ExpectedTime chooses targets by the expected time of a call.
+	ExpectedTime bool
+}
+
+// OnPlatform returns the system as the daemons of the platform run it, without
+// hedges, which chooses targets by the expected time of a call if asked to.
+func OnPlatform(expectedTime bool) System {
+	return System{
+		Name:           "siskin on the platform",
+		Control:        true,
+		LongLane:       true,
+		OwnCentreFirst: true,
+		ExpectedTime:   expectedTime,
+	}
 }
 
 // Siskin returns the complete system.
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -17,6 +17,17 @@
 	callerRetryDelay = 20 * clock.Millisecond
 )
 
+// startArrivals starts the arrivals of root requests.
+func (f *fleet) startArrivals() {
+	if f.scenario.Uneven == nil {
+		f.scheduleArrivals()
+		return
+	}
+	for centre := range centres {
+		f.scheduleCentreArrivals(centre)
+	}
+}
+
 // scheduleArrivals schedules the next root request and then itself.
 func (f *fleet) scheduleArrivals() {
 	gap := micro(float64(clock.Second*perMilli) / f.scenario.rate(f.now()))
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -34,8 +34,10 @@
 	scenario *Scenario
 	system   System
 	daemons  []*daemon
-	result   Result
-	seq      uint64
+	// senders holds the daemons without a target, by centre.
+	senders [centres][]*daemon
+	result  Result
+	seq     uint64
 }
 
 func newFleet(scenario *Scenario, system System) *fleet {
@@ -54,6 +56,9 @@
 		d.target = newTarget(f, d)
 		d.makePickers()
 	}
+	if scenario.Uneven != nil {
+		f.makeSenders()
+	}
 	f.every(tickInterval, f.tick)
 	return f
 }
@@ -71,7 +76,7 @@
 	case regionOf(a) == regionOf(b):
 		return micro(f.scenario.Deployment.RegionLatency)
 	}
-	return micro(f.scenario.Deployment.CrossRegionLatency)
+	return micro(f.scenario.Deployment.CrossRegionLatency) + f.linkExtra()
 }
 
 func regionOf(centre int) int { return centre * regions / centres }
@@ -84,6 +89,10 @@
 
 // slowdown returns the current factor on the service time of a target.
 func (f *fleet) slowdown(service, centre, index int) float64 {
+	if u := f.scenario.Uneven; u != nil {
+		t := f.daemonAt(service, centre, index).target
+		return u.factor(centre, t.slots, len(t.calls)-t.gate.Stats(f.now()).Lanes[rules.Short].Queued)
+	}
 	if !f.scenario.isDisturbed(f.now()) {
 		return 1
 	}
@@ -128,14 +137,20 @@
 // makePickers creates the pickers. All daemons must exist already.
 func (d *daemon) makePickers() {
 	rate := int64(linkBytesPerSecond / (len(d.f.daemons) / regions))
-	link := pick.NewBucket(rate, max(rate/5, minLinkCalls*callBytes))
+	d.makePickersWith(pick.NewBucket(rate, max(rate/5, minLinkCalls*callBytes)))
+}
+
+// makePickersWith creates the pickers with a link budget.
+func (d *daemon) makePickersWith(link *pick.Bucket) {
 	for service := range d.f.scenario.Deployment.Services {
 		p := pick.New(pick.Config{
-			Region:     fmt.Sprint(regionOf(d.centre)),
-			Centre:     fmt.Sprint(d.centre),
-			Seed:       uint64((d.service*centres+d.centre)*d.f.scenario.Deployment.PerCentre+d.index)<<8 | uint64(service),
-			LinkBudget: link,
-			RoundRobin: d.f.system.RoundRobin,
+			Region:         fmt.Sprint(regionOf(d.centre)),
+			Centre:         fmt.Sprint(d.centre),
+			Seed:           uint64((d.service*centres+d.centre)*d.f.scenario.Deployment.PerCentre+d.index)<<8 | uint64(service),
+			LinkBudget:     link,
+			RoundRobin:     d.f.system.RoundRobin,
+			OwnCentreFirst: d.f.system.OwnCentreFirst,
+			ByExpectedTime: d.f.system.ExpectedTime,
 		})
 		candidates := make([]pick.Candidate, 0, centres*d.f.scenario.Deployment.PerCentre)
 		for _, peer := range d.f.daemons {
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -39,6 +39,7 @@
 	// disturbance. usefulSlotTime is the part spent on successful root requests.
 	slotTime, usefulSlotTime micro
 	shedCheck                shedCheck
+	crossing                 crossing
 }
 
 func newResult(scenario *Scenario, system System) Result {
@@ -47,6 +48,7 @@
 		System:         system,
 		succeededByBin: make([]int, scenario.Length/binLength+1),
 		shedCheck:      newShedCheck(),
+		crossing:       newCrossing(scenario.Length),
 	}
 }
 
@@ -55,6 +57,7 @@
 	r.succeededByBin[now/binLength]++
 	if r.scenario.isDisturbed(now) {
 		r.succeeded[root.stream.Importance]++
+		r.crossing.served[root.region]++
 		r.usefulSlotTime += req.slotTime
 		r.latencies = append(r.latencies, at-root.start)
 	}
@@ -63,6 +66,7 @@
 func (r *Result) recordFailure(at micro, root *rootRequest) {
 	if r.scenario.isDisturbed(at.milli()) {
 		r.failed[root.stream.Importance]++
+		r.crossing.failed[root.region]++
 	}
 }
 
@@ -96,6 +100,9 @@
 
 // recordAttempt counts an attempt that is sent.
 func (r *Result) recordAttempt(c *call, choice pick.Choice) {
+	if choice.Spill {
+		r.recordCrossing(c)
+	}
 	if !r.scenario.isDisturbed(c.d.f.now()) {
 		return
 	}
@@ -180,7 +187,7 @@
 // Run simulates a scenario under a system.
 func Run(scenario Scenario, system System) Result {
 	f := newFleet(&scenario, system)
-	f.scheduleArrivals()
+	f.startArrivals()
 	f.startLongRequests()
 	f.run(toMicro(scenario.Length))
 	return f.result
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -42,6 +42,8 @@
 	// LongRequests is the number of long requests that start at Begin. Each is
 	// sent again when it ends, until End.
 	LongRequests int
+	// Uneven makes targets and demand differ between centres; nil does not.
+	Uneven *Uneven
 }
 
 // Overload returns the scenario in which demand rises to surge percent while
--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -6,6 +6,7 @@
 	"siskinswitch.example/siskin/internal/state/pick"
 	"siskinswitch.example/siskin/internal/state/retry"
 	"siskinswitch.example/siskin/internal/state/rules"
+	"siskinswitch.example/siskin/pkg/clock"
 )
 
 // call is a call that a daemon sends, with all its attempts.
@@ -53,12 +54,14 @@
 	f := c.d.f
 	p := c.picker()
 	q := pick.Query{
-		Op:         c.op.Path,
-		Importance: c.req.importance,
-		Cost:       c.op.Cost,
-		RootHash:   c.req.rootHash,
-		Exclude:    c.tried,
-		Bytes:      callBytes,
+		Op:          c.op.Path,
+		Importance:  c.req.importance,
+		Cost:        c.op.Cost,
+		RootHash:    c.req.rootHash,
+		Exclude:     c.tried,
+		Bytes:       c.estimatedBytes(),
+		TimeLeft:    (c.req.deadline - f.at).milli(),
+		LatencyGoal: c.latencyGoal(),
 	}
 	if !f.system.Control {
 		q.Exclude = nil
@@ -97,9 +100,17 @@
 		},
 	}
 	c.inFlight = append(c.inFlight, a)
+	if f.isCut(c.d.centre, a.to.centre) {
+		f.after(c.req.deadline-f.at, func() { c.lose(a) })
+		return
+	}
 	latency := f.latency(c.d.centre, a.to.centre)
 	a.inbound.respond = func(o outcome) {
-		f.after(latency, func() {
+		if f.isCut(c.d.centre, a.to.centre) {
+			f.after(c.req.deadline-f.at, func() { c.lose(a) })
+			return
+		}
+		f.after(f.latency(c.d.centre, a.to.centre), func() {
 			if !c.ended {
 				c.budget.Return(units, o.unspent)
 				c.recordFeedback(a, o)
@@ -110,6 +121,24 @@
 	f.after(latency, func() { a.to.target.arrive(a.inbound) })
 }
 
+// lose ends an attempt whose request or answer was lost, at its deadline.
+func (c *call) lose(a *attempt) {
+	if c.ended {
+		return
+	}
+	c.picker().Finished(c.d.f.now(), a.pickCall, pick.Canceled)
+	c.handleAnswer(a, pick.Failed)
+}
+
+// latencyGoal returns the time within which the answer has its full value, 0 if
+// none is set.
+func (c *call) latencyGoal() clock.Milli {
+	if u := c.d.f.scenario.Uneven; u != nil {
+		return u.LatencyGoal
+	}
+	return 0
+}
+
 // recordFeedback passes the result and the feedback of an answer to the picker.
 func (c *call) recordFeedback(a *attempt, o outcome) {
 	f := c.d.f
@@ -121,7 +150,9 @@
 	if !f.system.HideThresholds {
 		p.ReportThreshold(f.now(), a.to.name, c.op.Path, o.threshold)
 	}
-	p.ReportLoad(f.now(), a.to.name, o.loadReport)
+	if !f.isReportLost() {
+		p.ReportLoad(f.now(), a.to.name, o.loadReport)
+	}
 }
 
 // handleAnswer ends the call, retries it, or waits for its other attempt.
--- a/internal/bench/target.go
+++ b/internal/bench/target.go
@@ -46,6 +46,10 @@
 func newTarget(f *fleet, d *daemon) *target {
 	service := f.scenario.Deployment.Services[d.service]
 	maxCalls := service.Conns
+	gateSlots := service.Slots
+	if u := f.scenario.Uneven; u != nil && u.Statements.Learned {
+		gateSlots = u.kneeLimit(service.Slots)
+	}
 	if f.system.QueueFactor > 0 {
 		maxCalls = service.Slots * (1 + f.system.QueueFactor)
 	}
@@ -53,7 +57,7 @@
 		f: f,
 		d: d,
 		gate: admit.New(admit.Config{
-			Slots: service.Slots,
+			Slots: gateSlots,
 			Conns: service.Conns,
 		}),
 		calls:    make(map[uint64]*inboundCall),
@@ -68,6 +72,7 @@
 		t.arriveUncontrolled(c)
 		return
 	}
+	t.f.result.crossing.arrivals[t.d.centre][t.f.now()/binLength]++
 	t.f.seq++
 	c.admitRequest = admit.Request{
 		Seq:        t.f.seq,
@@ -137,10 +142,14 @@
 		return pick.LoadReport{}
 	}
 	lanes := t.gate.Stats(t.f.now()).Lanes
-	return pick.LoadReport{
+	report := t.learned(pick.LoadReport{
 		Short: laneLoad(lanes[rules.Short]),
 		Long:  laneLoad(lanes[rules.Long]),
+	})
+	if u := t.f.scenario.Uneven; u != nil {
+		report.Age = u.Statements.Delay
 	}
+	return report
 }
 
 func laneLoad(l admit.Lane) pick.Lane {
@@ -158,6 +167,10 @@
 		t.f.after(rejectTime, func() { t.end(c, pick.Refused) })
 		return
 	}
+	if t.failsFast() {
+		t.f.after(rejectTime, func() { t.end(c, pick.Failed) })
+		return
+	}
 	ownTime := micro(float64(toMicro(c.op.OwnTime)) * t.f.slowdown(t.d.service, t.d.centre, t.d.index))
 	if c.op.Cost == rules.Short {
 		ownTime = t.f.jitter(ownTime)
--- a/internal/state/pick/bucket.go
+++ b/internal/state/pick/bucket.go
@@ -68,6 +68,16 @@
 	return b.tokens
 }
 
+// percent returns n as a percentage of the burst, at most 100.
+func (b *Bucket) percent(n int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.burst <= 0 {
+		return 100
+	}
+	return int(min(100, int64(n)*100/b.burst))
+}
+
 func (b *Bucket) permits(n, reserve int) bool {
 	return b.tokens-int64(n) >= b.burst*int64(reserve)/100
 }
--- a/internal/state/pick/operation.go
+++ b/internal/state/pick/operation.go
@@ -34,6 +34,9 @@
 	samples        int
 	median         clock.Milli
 	highLatency    clock.Milli
+	// service is the usual service time in milliseconds, a running median over
+	// all targets without network and wait, 0 if unknown.
+	service float64
 }
 
 func (o *operation) add(took clock.Milli) {
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -81,6 +81,9 @@
 	// other is considered. Without it, the data centres of a region are
 	// treated nearly alike.
 	OwnCentreFirst bool
+	// ByExpectedTime chooses by the expected time until the call ends, see the
+	// package comment. [Picker.SetByExpectedTime] changes it later.
+	ByExpectedTime bool
 	// RoundRobin ignores load and latency and takes the targets of the region
 	// in turn. It serves as a baseline for comparison.
 	RoundRobin bool
@@ -118,6 +121,11 @@
 	// Bytes is the expected size of request and answer, which is taken from
 	// the link's byte budget if the call crosses the regional link.
 	Bytes int
+	// TimeLeft is the time until the deadline of the call, and LatencyGoal the
+	// time within which its answer has its full value; 0 is unknown. They count
+	// only with Config.ByExpectedTime.
+	TimeLeft    clock.Milli
+	LatencyGoal clock.Milli
 }
 
 // Choice is a chosen target.
--- a/internal/state/pick/picker.go
+++ b/internal/state/pick/picker.go
@@ -29,6 +29,11 @@
 	near, far []*target
 	// ownCentre holds the targets of near that are in the own data centre.
 	ownCentre []*target
+
+	// places holds the targets by distance. Their shares were updated at
+	// sharedAt.
+	places   [distances]place
+	sharedAt clock.Milli
 }
 
 // New returns a picker without targets.
@@ -67,6 +72,7 @@
 	}
 	p.byName = byName
 	p.targets = targets
+	p.setPlaces()
 }
 
 // Choose returns the target for a call. The error is an [*Error] of kind
@@ -75,6 +81,9 @@
 func (p *Picker) Choose(now clock.Milli, q Query) (Choice, error) {
 	p.ejector.adjust(now, p.targets)
 	p.operation(q.Op).cost = q.Cost
+	if p.cfg.ByExpectedTime {
+		return p.chooseByTime(now, &q)
+	}
 	const op = "choose"
 	if p.classify(now, &q) == 0 {
 		return Choice{}, &Error{
@@ -157,24 +166,43 @@
 		op: op,
 	}
 	if t, ok := p.byName[name]; ok {
-		o := p.operation(op)
-		t.calls[c.id] = inFlight{
-			at:           now,
-			usualLatency: o.usualLatency(),
-			cost:         o.cost,
-		}
+		t.calls[c.id] = p.newInFlight(now, t, p.operation(op))
 	}
 	return c
 }
 
+// newInFlight returns the state of a call that is sent to t.
+func (p *Picker) newInFlight(now clock.Milli, t *target, o *operation) inFlight {
+	f := inFlight{
+		at:           now,
+		usualLatency: o.usualLatency(),
+		cost:         o.cost,
+	}
+	if p.cfg.ByExpectedTime {
+		e := p.estimateOf(now, &Query{
+			Cost: o.cost,
+		}, o, t)
+		f.usualLatency = o.service
+		f.wait = e.wait
+		f.allowed = e.wait + e.network
+		t.place.sent(now, clock.Milli(usualFactor*e.time))
+	}
+	return f
+}
+
 // Finished records the outcome of a call.
 func (p *Picker) Finished(now clock.Milli, c Call, outcome Outcome) {
 	t, ok := p.byName[c.to]
 	if !ok {
 		return
 	}
+	f := t.calls[c.id]
 	delete(t.calls, c.id)
 	o := p.operation(c.op)
+	if p.cfg.ByExpectedTime {
+		p.finishedByTime(now, t, o, &f, outcome)
+		return
+	}
 	usual := o.usualLatency()
 	took := now - c.at
 	switch outcome {
@@ -212,6 +240,8 @@
 	}
 	t.report = report
 	t.reportedAt = now - report.Age
+	limit := max(report.Short.Limit, 1)
+	t.place.addReport(t.reportedAt, float64(report.Short.Running)/float64(limit), float64(report.Wait))
 }
 
 // ReportThreshold records the admission threshold that a target stated for an
--- a/internal/state/pick/target.go
+++ b/internal/state/pick/target.go
@@ -46,6 +46,20 @@
 	at           clock.Milli
 	usualLatency float64
 	cost         rules.Cost
+	// wait is the time that the call was expected to wait at the target, and
+	// allowed that time and the one on the network, in milliseconds. Both are 0
+	// without Config.ByExpectedTime.
+	wait    float64
+	allowed float64
+}
+
+// slowness returns the age of the call as a multiple of the usual latency, 0 if
+// that is unknown.
+func (f *inFlight) slowness(now clock.Milli) float64 {
+	if f.usualLatency <= 0 {
+		return 0
+	}
+	return (float64(now-f.at) - f.allowed) / f.usualLatency
 }
 
 // target is the state that a picker keeps of one target.
@@ -61,6 +75,14 @@
 	// weight is the probability that the target is compared when it is drawn.
 	weight     float64
 	thresholds map[string]statedThreshold
+	// place is the place of the target, and share the probability that it is
+	// compared when it is drawn there.
+	place *place
+	share float64
+	// failures is the part of the calls that failed or were refused, a moving
+	// average of the time failedAt.
+	failures float64
+	failedAt clock.Milli
 }
 
 func newTarget(c Candidate) *target {
@@ -69,6 +91,7 @@
 		averageSlowness: 1,
 		reportedAt:      -reportLifetime,
 		weight:          1,
+		share:           1,
 		calls:           make(map[uint64]inFlight),
 		thresholds:      make(map[string]statedThreshold),
 	}
@@ -135,18 +158,22 @@
 // the finished calls. The average fades while no call is in flight, so that
 // calls are sent to a slow target again, one at a time.
 func (t *target) slowness(now clock.Milli) float64 {
-	slow := t.averageSlowness
-	if len(t.calls) == 0 {
-		slow = 1 + (t.averageSlowness-1)*math.Exp(-float64(now-t.sampledAt)/float64(fadeTime))
-	}
+	slow := t.fadedSlowness(now)
 	for _, f := range t.calls {
-		if f.usualLatency > 0 {
-			slow = max(slow, float64(now-f.at)/f.usualLatency)
-		}
+		slow = max(slow, f.slowness(now))
 	}
 	return slow
 }
 
+// fadedSlowness returns the average slowness of finished calls, faded while no
+// call is in flight.
+func (t *target) fadedSlowness(now clock.Milli) float64 {
+	if len(t.calls) > 0 {
+		return t.averageSlowness
+	}
+	return 1 + (t.averageSlowness-1)*math.Exp(-float64(now-t.sampledAt)/float64(fadeTime))
+}
+
 // addSample adds a sample to the average slowness. Its weight grows with the
 // time since the last sample.
 func (t *target) addSample(now clock.Milli, ratio float64) {
