Choose targets by the expected time of a call, if asked to

Cause: a deep service with a target of 110 slots in each of four data centres, speeds 0.7, 0.7 | 0.7, 1.6, refuses 14 % of the requests of the slow region while the other has spare capacity: calls cross only while every near target is full, each at a constant 6 KiB of the link budget.

The picker draws two targets of a distance in proportion to what they complete, compares them by expected time and load, and lets calls leave their data centre and their region in proportion to how full these are. With the switch off nothing changes.

--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -150,8 +150,12 @@
 	if !f.system.HideThresholds {
 		p.ReportThreshold(f.now(), a.to.name, c.op.Path, o.threshold)
 	}
-	if !f.isReportLost() {
+	switch age := o.loadReport.Age; {
+	case f.isReportLost():
+	case age == 0:
 		p.ReportLoad(f.now(), a.to.name, o.loadReport)
+	default:
+		f.after(toMicro(age), func() { p.ReportLoad(f.now(), a.to.name, o.loadReport) })
 	}
 }
 
--- a/internal/bench/uneven.go
+++ b/internal/bench/uneven.go
@@ -53,7 +53,7 @@
 	Learned bool
 	// LostPercent is the part of the reports that is lost.
 	LostPercent int
-	// Delay is added to the age of each report.
+	// Delay is the time by which each report arrives later than its answer.
 	Delay clock.Milli
 }
 
@@ -163,6 +163,24 @@
 	return float64(slots) * u.Speeds[centre] / float64(own) * float64(clock.Second)
 }
 
+// IsolatedShare returns the share of the demand that the regions would serve
+// during the disturbance if nothing crossed the link.
+func (s *Scenario) IsolatedShare() float64 {
+	served, demanded := 0.0, 0.0
+	for at := s.Begin; at < s.End; at += binLength {
+		var demand, pool [regions]float64
+		for centre := range centres {
+			demand[regionOf(centre)] += s.Uneven.rateOf(at, centre, s.rate(at))
+			pool[regionOf(centre)] += s.capacity(centre)
+		}
+		for r := range regions {
+			demanded += demand[r]
+			served += min(demand[r], pool[r])
+		}
+	}
+	return served / demanded
+}
+
 // PoolShare returns the share of the demand that one common pool of the same
 // capacity would serve during the disturbance.
 func (s *Scenario) PoolShare() float64 {
@@ -220,7 +238,7 @@
 		deadline:   f.at + toMicro(callerTimeout),
 	}
 	d.send(stream.Op, req, 1, retryUnits, func(result pick.Outcome, _ int) {
-		f.attemptEnded(root, req, result == pick.Done)
+		f.attemptEnded(root, req, result == pick.Done && f.at <= req.deadline)
 	})
 }
 
@@ -303,6 +321,19 @@
 	return float64(failed) / float64(max(failed+r.crossing.served[region], 1))
 }
 
+// ArrivalShare returns the part of the arrivals during the disturbance that the
+// target of a centre received.
+func (r *Result) ArrivalShare(centre int) float64 {
+	arrived, all := 0, 0
+	for bin := r.scenario.Begin / binLength; bin < r.scenario.End/binLength; bin++ {
+		arrived += r.crossing.arrivals[centre][bin]
+		for i := range centres {
+			all += r.crossing.arrivals[i][bin]
+		}
+	}
+	return float64(arrived) / float64(max(all, 1))
+}
+
 // Herd returns the greatest ratio of the arrivals at a target within 100 ms to
 // its fair part: what it takes well, or its part of the demand if that is more.
 func (r *Result) Herd() float64 {
--- a/internal/state/pick/bytime.go
+++ b/internal/state/pick/bytime.go
@@ -22,7 +22,7 @@
 	// always chosen. Below it the choice is random, so that senders that see the
 	// same statements do not all choose the same target.
 	loadSpread = 0.2
-	// spareLoad is the load up to which all calls stay in a place, and fullLoad
+	// spareLoad is the load up to which all calls stay in a place, and crowdedLoad
 	// that from which all leave it if it is better elsewhere. Between them a
 	// growing part leaves.
 	spareLoad    = 0.9
@@ -100,7 +100,7 @@
 	if math.IsInf(bound, 1) && o.service > 0 {
 		bound = usualFactor * o.service
 	}
-	return e.time <= bound && e.t.failures < failuresShown
+	return e.time <= bound
 }
 
 // better returns the better one of two estimates, either of which may be empty:
@@ -148,7 +148,7 @@
 		if !pl.takeProbe(now) {
 			return false
 		}
-	case far.t.failures >= failuresShown || p.leaves(far.load, farSpareLoad, farFullLoad):
+	case p.leaves(far.load, farSpareLoad, farFullLoad):
 		return false
 	case near.t != nil && !p.endsSooner(near, far) && !p.mustLeave(q, near, far):
 		return false
@@ -188,7 +188,7 @@
 			return best
 		}
 		t := targets[p.rand.IntN(len(targets))]
-		if (len(targets) > 1 && p.rand.Float64() >= t.share) || !t.takes(now, q) {
+		if (len(targets) > 1 && p.rand.Float64() >= t.share) || !p.takes(now, q, t) {
 			continue
 		}
 		compared++
@@ -201,16 +201,20 @@
 	}
 	first := p.rand.IntN(len(targets))
 	for i := range targets {
-		if t := targets[(first+i)%len(targets)]; t.takes(now, q) {
+		if t := targets[(first+i)%len(targets)]; p.takes(now, q, t) {
 			return p.estimateOf(now, q, o, t)
 		}
 	}
 	return best
 }
 
-// takes reports whether t may be chosen for a call and would not refuse it.
-func (t *target) takes(now clock.Milli, q *Query) bool {
-	return !slices.Contains(q.Exclude, t.Name) && t.admits(now, q)
+// takes reports whether t may be chosen for a call and is expected to neither
+// refuse nor fail it. A failing target is tried from time to time.
+func (p *Picker) takes(now clock.Milli, q *Query, t *target) bool {
+	if slices.Contains(q.Exclude, t.Name) || !t.admits(now, q) {
+		return false
+	}
+	return p.allFail || !t.isFailing(now) || t.mayTryFailing(now)
 }
 
 // finishedByTime is [Picker.Finished] with Config.ByExpectedTime.
@@ -219,7 +223,7 @@
 	switch outcome {
 	case Done:
 		o.add(took)
-		t.place.unanswered = 0
+		t.place.answered()
 		t.addOutcome(now, false)
 		p.recordTime(now, t, o, f, took)
 	case Failed:
@@ -227,11 +231,11 @@
 		t.addSample(now, max(failedSlowness, t.averageSlowness))
 	case Canceled:
 		if slow := f.slowness(now); slow > latencyTolerance {
+			t.place.addExcess(now, float64(took)-f.allowed-t.averageSlowness*o.service)
 			t.addSample(now, canceledSlowness*slow)
 		}
 	case Refused:
-		t.place.unanswered = 0
-		t.addOutcome(now, true)
+		t.place.answered()
 	}
 }
 
@@ -261,11 +265,13 @@
 		return
 	}
 	p.sharedAt = now
+	p.allFail = true
 	for d := range p.places {
 		targets := p.places[d].targets
 		stated := true
 		for _, t := range targets {
 			stated = stated && t.report.Throughput > 0
+			p.allFail = p.allFail && t.isFailing(now)
 		}
 		most := 0.0
 		for _, t := range targets {
--- a/internal/state/pick/estimate.go
+++ b/internal/state/pick/estimate.go
@@ -15,14 +15,27 @@
 	// minServicePart bounds a service time from below, as a part of the time
 	// that the call took, where the estimates of network and wait exceed it.
 	minServicePart = 0.1
-	// failureWeight is the weight of one outcome in a target's failure rate.
+	// statementTime is the time constant with which a stated load turns into
+	// usualLoad, the load of a target that has not stated any. A target that
+	// stated that it is full is thus tried again before the statement ends.
+	statementTime = 50 * clock.Millisecond
+	placeTime     = 300 * clock.Millisecond
+	usualLoad     = 0.9
+	// failureWeight and successWeight are the weights of one outcome in a
+	// target's failure rate. A target that fails four of five calls thus has the
+	// rate failingRate, one that refuses every second call at random stays far
+	// below.
 	failureWeight = 1.0 / 16
-	// maxFailures bounds the failure rate that counts, so that a failing target
-	// is tried now and then.
+	successWeight = 1.0 / 4
+	// failingRate is the failure rate from which a target counts as failing.
+	failingRate = 0.5
+	// maxFailures bounds the failure rate that counts in an estimate.
 	maxFailures = 0.95
-	// failuresShown is the failure rate from which a target is not chosen for
-	// its low load.
-	failuresShown = 0.3
+	// failureFadeTime is the time constant with which a failure rate fades while
+	// no call ends.
+	failureFadeTime = 10 * clock.Second
+	// tryFailingEvery is the time between two calls that try a failing target.
+	tryFailingEvery = clock.Second
 )
 
 // estimate is what a call at a target is expected to come to.
@@ -64,17 +77,25 @@
 		e.wait = float64(t.report.Wait)
 		e.isKnown = true
 	case t.place.hasFreshReport(now):
-		running = max(running, int(t.place.load*limit)+unseen)
-		e.wait = t.place.wait
 		e.isKnown = true
 	}
 	limit *= t.ramp(now)
+	stated := float64(running)
 	if rate <= 0 {
 		rate = limit / max(service, 1) * float64(clock.Second)
 	}
-	ahead := float64(running+1) - limit
+	if e.isKnown {
+		keep := 0.0
+		if t.hasFreshReport(now) {
+			keep = math.Exp(-float64(max(0, now-t.reportedAt)) / float64(statementTime))
+		}
+		placeLoad := t.place.loadAt(now)*limit + float64(unseen)
+		stated = placeLoad + (stated-placeLoad)*keep
+		e.wait *= keep
+	}
+	ahead := stated + 1 - limit
 	e.wait = max(e.wait, ahead/rate*float64(clock.Second), 0)
-	e.load = float64(running+1) / limit
+	e.load = (stated + 1) / limit
 	e.time = (e.network + e.wait + service) / (1 - min(t.failureRate(now), maxFailures))
 	return e
 }
@@ -120,21 +141,34 @@
 // addOutcome adds the outcome of a call to the target's failure rate.
 func (t *target) addOutcome(now clock.Milli, failed bool) {
 	rate := t.failureRate(now)
-	outcome := 0.0
 	if failed {
-		outcome = 1
+		rate += failureWeight * (1 - rate)
+	} else {
+		rate -= successWeight * rate
 	}
-	t.failures = rate + failureWeight*(outcome-rate)
+	t.failures = rate
 	t.failedAt = now
 }
 
-// failureRate returns the part of the recent calls that failed or were refused.
-// It fades without calls.
+// failureRate returns the weighted part of the recent calls that failed.
 func (t *target) failureRate(now clock.Milli) float64 {
 	if t.failures == 0 {
 		return 0
 	}
-	return t.failures * math.Exp(-float64(now-t.failedAt)/float64(fadeTime))
+	return t.failures * math.Exp(-float64(now-t.failedAt)/float64(failureFadeTime))
+}
+
+// isFailing reports whether most calls to the target fail. It may look idle
+// because it fails fast.
+func (t *target) isFailing(now clock.Milli) bool { return t.failureRate(now) >= failingRate }
+
+// mayTryFailing reports whether a failing target may be tried once.
+func (t *target) mayTryFailing(now clock.Milli) bool {
+	if now-t.triedAt < tryFailingEvery {
+		return false
+	}
+	t.triedAt = now
+	return true
 }
 
 // recordTime records the time of a completed call: what exceeds the expected
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -26,6 +26,26 @@
 // The part of the targets that may be ejected at the same time is limited. A
 // target that has just started gains its capacity over time (slow start).
 //
+// With [Config.ByExpectedTime] the choice is made by the expected time until one
+// more call ends at a target: the network time of its distance, the wait that it
+// states, and its service time by the own view of its calls. The steps are:
+//
+//   - Two targets of the own data centre are drawn in proportion to what they
+//     complete. If both are in good time for the call, the one with less load is
+//     better, else the one that ends sooner. Calls stay here while the time is
+//     good enough; from 90 % of the limit on, a growing part leaves.
+//   - Those that leave compare in the same way with the rest of the region.
+//   - Calls cross the regional link if they end clearly sooner there, or in
+//     proportion to how full the region is, and only where the other region is
+//     known to have room. Each leaves a part of the byte budget to more important
+//     calls, and as much again as it takes.
+//
+// A stated load counts fully when it is new and turns within a moment into the
+// average of its place, and that into an assumed load, because all senders see
+// the same statements and none sees them in time. A target that fails most calls
+// is tried once a second, and a place from which no answer comes with growing
+// pauses.
+//
 // A Picker does no I/O, starts no goroutine and reads no clock. It is not safe
 // for concurrent use.
 package pick
--- a/internal/state/pick/picker.go
+++ b/internal/state/pick/picker.go
@@ -34,6 +34,8 @@
 	// sharedAt.
 	places   [distances]place
 	sharedAt clock.Milli
+	// allFail is set while every target is failing.
+	allFail bool
 }
 
 // New returns a picker without targets.
@@ -44,12 +46,16 @@
 	if cfg.LinkBudget == nil {
 		cfg.LinkBudget = NewBucket(0, 0)
 	}
-	return &Picker{
+	p := &Picker{
 		cfg:        cfg,
 		rand:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		byName:     make(map[string]*target),
 		operations: make(map[string]*operation),
 	}
+	for d := range p.places {
+		p.places[d] = newPlace(distance(d))
+	}
+	return p
 }
 
 // SetTargets replaces the candidates. The state observed of a target is kept
@@ -196,10 +202,13 @@
 	if !ok {
 		return
 	}
-	f := t.calls[c.id]
+	f, known := t.calls[c.id]
 	delete(t.calls, c.id)
 	o := p.operation(c.op)
 	if p.cfg.ByExpectedTime {
+		if !known {
+			return
+		}
 		p.finishedByTime(now, t, o, &f, outcome)
 		return
 	}
@@ -241,7 +250,7 @@
 	t.report = report
 	t.reportedAt = now - report.Age
 	limit := max(report.Short.Limit, 1)
-	t.place.addReport(t.reportedAt, float64(report.Short.Running)/float64(limit), float64(report.Wait))
+	t.place.addReport(now, report.Age, float64(report.Short.Running)/float64(limit))
 }
 
 // ReportThreshold records the admission threshold that a target stated for an
@@ -289,7 +298,7 @@
 		return admit.Threshold{}
 	}
 	near, known := o.nearThresholds.mostPermissive(now, p.nearCount)
-	if !known || !o.spill.allowed || !p.cfg.LinkBudget.Permits(now, 1, linkReserve(importance)) {
+	if !known || !p.maySpill(now, o) || !p.cfg.LinkBudget.Permits(now, 1, linkReserve(importance)) {
 		return near
 	}
 	far, known := o.farThresholds.mostPermissive(now, len(p.targets))
@@ -299,6 +308,15 @@
 	return near.Min(far)
 }
 
+// maySpill reports whether calls of the operation may go to the other region, or
+// lately did.
+func (p *Picker) maySpill(now clock.Milli, o *operation) bool {
+	if p.cfg.ByExpectedTime {
+		return o.spill.allowed && now-o.spill.decidedAt < thresholdLifetime
+	}
+	return o.spill.allowed
+}
+
 // HedgeDelay returns how long to wait for an answer of the operation before a
 // second attempt is worth its cost, 0 if too few calls have finished. It is a
 // high percentile of the latency within bounds around the median. Below the
--- a/internal/state/pick/place.go
+++ b/internal/state/pick/place.go
@@ -30,9 +30,11 @@
 	// must be overdue.
 	silentCalls = 3
 	silentTime  = 50 * clock.Millisecond
-	// probeEvery is the time between two calls that try a place that is silent,
-	// or targets of another region whose load is not known.
-	probeEvery = 500 * clock.Millisecond
+	// minProbeGap is the first time between two calls that try a place that is
+	// silent, or another region whose load is not known. It doubles up to
+	// maxProbeGap until an answer comes.
+	minProbeGap = 500 * clock.Millisecond
+	maxProbeGap = 4 * clock.Second
 )
 
 // place holds the targets at one distance and what their answers have in
@@ -49,14 +51,24 @@
 	// due at dueAt.
 	unanswered int
 	dueAt      clock.Milli
-	probedAt   clock.Milli
-	// load and wait are moving averages of the load and the wait that targets
-	// of the place stated last, at reportedAt.
+	// probedAt is the last try of the place while it should not be used, and
+	// probeGap the time until the next.
+	probedAt clock.Milli
+	probeGap clock.Milli
+	// load is a moving average of the loads that the targets of the place
+	// stated, last at reportedAt.
 	load       float64
-	wait       float64
 	reportedAt clock.Milli
 }
 
+func newPlace(d distance) place {
+	return place{
+		distance:   d,
+		load:       usualLoad,
+		reportedAt: -reportLifetime,
+	}
+}
+
 // network returns the expected network time of a call and its answer in
 // milliseconds.
 func (pl *place) network(now clock.Milli) float64 {
@@ -94,6 +106,12 @@
 	pl.unanswered++
 }
 
+// answered records an answer from the place.
+func (pl *place) answered() {
+	pl.unanswered = 0
+	pl.probeGap = 0
+}
+
 // isSilent reports whether no call of a while was answered, as when the network
 // to the place is cut. One target that hangs does not make its place silent.
 func (pl *place) isSilent(now clock.Milli) bool {
@@ -103,27 +121,31 @@
 // takeProbe reports whether a call may try the place although it should not be
 // used, and counts it.
 func (pl *place) takeProbe(now clock.Milli) bool {
-	if now-pl.probedAt < probeEvery {
+	if now-pl.probedAt < pl.probeGap {
 		return false
 	}
 	pl.probedAt = now
+	pl.probeGap = min(max(2*pl.probeGap, minProbeGap), maxProbeGap)
 	return true
 }
 
-// addReport records the load and the wait that a target stated.
-func (pl *place) addReport(now clock.Milli, load, wait float64) {
-	weight := 1.0
-	if now-pl.reportedAt < reportLifetime {
-		weight = sampleWeight
-	}
-	pl.load += weight * (load - pl.load)
-	pl.wait += weight * (wait - pl.wait)
+// addReport records the load that a target stated. The older the statement, the
+// less it counts.
+func (pl *place) addReport(now, age clock.Milli, load float64) {
+	pl.load = pl.loadAt(now) + sampleWeight*math.Exp(-float64(age)/float64(statementTime))*(load-pl.loadAt(now))
 	pl.reportedAt = now
 }
 
 // hasFreshReport reports whether a target of the place stated its load lately.
 func (pl *place) hasFreshReport(now clock.Milli) bool { return now-pl.reportedAt < reportLifetime }
 
+// loadAt returns the expected load of a target of the place that has not stated
+// its own lately.
+func (pl *place) loadAt(now clock.Milli) float64 {
+	age := float64(max(0, now-pl.reportedAt))
+	return usualLoad + (pl.load-usualLoad)*math.Exp(-age/float64(placeTime))
+}
+
 // distanceOf returns the distance of a candidate.
 func (p *Picker) distanceOf(c *Candidate) distance {
 	switch {
@@ -138,7 +160,6 @@
 // setPlaces sorts the targets into places.
 func (p *Picker) setPlaces() {
 	for d := range p.places {
-		p.places[d].distance = distance(d)
 		p.places[d].targets = nil
 	}
 	for _, t := range p.targets {
--- a/internal/state/pick/target.go
+++ b/internal/state/pick/target.go
@@ -79,10 +79,12 @@
 	// compared when it is drawn there.
 	place *place
 	share float64
-	// failures is the part of the calls that failed or were refused, a moving
-	// average of the time failedAt.
+	// failures is the weighted part of the calls that failed, a moving average
+	// of the time failedAt.
 	failures float64
 	failedAt clock.Milli
+	// triedAt is when the target was last tried while it was failing.
+	triedAt clock.Milli
 }
 
 func newTarget(c Candidate) *target {
