Choose by expected time where accounts or uploads are in force

Cause: the picker can choose by the expected time of a call, but no daemon switches it on, and each call is charged 6 KiB of the link budget whatever its size.

Change: model.Config.Learns tells whether the configuration in force has client accounts or upload routes; flow sets the way of choosing and the link budget with each view. It estimates the bytes of a call from the body and the usual answer of the route, charges what an answer takes beyond the estimate, and counts a failure of the target itself as failed.

--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -104,6 +104,10 @@
 	return false
 }
 
+// Learns reports whether daemons learn what targets can do and choose them by it
+// unless told otherwise: where callers have accounts or send uploads.
+func (c *Config) Learns() bool { return c.Accounts.InForce() || c.HasUploads() }
+
 // SortRoutes sorts the routes of each host by prefix length, longest first, as
 // Match requires.
 func (c *Config) SortRoutes() {
--- a/internal/state/pick/bucket.go
+++ b/internal/state/pick/bucket.go
@@ -60,7 +60,15 @@
 	return true
 }
 
-// Left returns the number of bytes in the bucket.
+// Charge takes n bytes that have been sent already. The bucket may owe them.
+func (b *Bucket) Charge(now clock.Milli, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens -= int64(n)
+}
+
+// Left returns the number of bytes in the bucket, negative if it owes some.
 func (b *Bucket) Left(now clock.Milli) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -52,7 +52,7 @@
 			break
 		}
 		a, fb := o.attempt(ctx, c, &t)
-		o.finishAttempt(s, c, t, flight, fb)
+		o.finishAttempt(s, c, t, flight, &a, fb)
 		c.reason = fb.Outcome.String() + " " + fb.Reason
 		c.recordAttempt(t.ID, fb)
 		switch fb.Outcome {
@@ -173,7 +173,7 @@
 	now := o.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(now, o.cfg.View(), c.service, o.cfg.Self.Centres)
+	s.refresh(now, o.cfg.View(), c.service, &o.cfg.Self)
 	excluded := slices.Concat(c.excluded, s.endingBefore(now, c.deadline))
 	q := pick.Query{
 		Op:         c.route.Name,
@@ -182,6 +182,7 @@
 		Exclude:    excluded,
 		Bytes:      linkCost(c.r),
 	}
+	s.describe(now, c, &q)
 	if c.rejectedBy != "" {
 		q.Exclude = append(slices.Clone(excluded), c.rejectedBy)
 	}
@@ -194,6 +195,10 @@
 		return model.Target{}, pick.Call{}, err
 	}
 	c.tried = append(c.tried, choice.Target)
+	c.linkBytes = 0
+	if choice.Spill {
+		c.linkBytes = q.Bytes
+	}
 	return s.targets[choice.Target], s.picker.Started(now, choice.Target, c.route.Name), nil
 }
 
@@ -203,7 +208,7 @@
 
 // finishAttempt reports the end of an attempt to the picker and applies the
 // feedback.
-func (o *Outbound) finishAttempt(s *service, c *call, t model.Target, f pick.Call, fb peer.Feedback) {
+func (o *Outbound) finishAttempt(s *service, c *call, t model.Target, f pick.Call, a *guard.Answer, fb peer.Feedback) {
 	now := o.cfg.Clock.Now()
 	outcome := pick.Failed
 	switch {
@@ -216,6 +221,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.byTime && outcome == pick.Done {
+		outcome = s.recordAnswer(now, c, a, fb)
+	}
 	s.picker.Finished(now, f, outcome)
 	if isTargetAbsent(fb) {
 		o.ejectTarget(s, now, t.ID, fb.Reason)
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -231,6 +231,9 @@
 	// the target that rejected the request last, without running it.
 	excluded   []string
 	rejectedBy string
+	// linkBytes is what the last attempt took of the link budget, 0 if it stayed
+	// in the region.
+	linkBytes int
 	// reached counts the attempts that reached a target or may have, runs those
 	// of them that ran or may have, and refusals the refusals by daemons.
 	reached    int
--- a/internal/trans/flow/service.go
+++ b/internal/trans/flow/service.go
@@ -26,6 +26,11 @@
 	mu          sync.Mutex
 	picker      *pick.Picker
 	retryBudget *retryBudget
+	link        *pick.Bucket
+	// byTime says that targets are chosen by the expected time of a call, and
+	// answerBytes holds the usual size of the answers of each route.
+	byTime      bool
+	answerBytes map[string]float64
 	view        *model.View
 	targets     map[string]model.Target
 	// ejectedUntil maps each ejected target to the end of its ejection.
@@ -65,6 +70,8 @@
 			OwnCentreFirst: true,
 		}),
 		retryBudget:  newRetryBudget(cfg, daemons, now),
+		link:         link,
+		answerBytes:  make(map[string]float64),
 		targets:      make(map[string]model.Target),
 		ejectedUntil: make(map[string]clock.Milli),
 		endings:      make(map[string]ending),
@@ -74,7 +81,7 @@
 
 // refresh rebuilds the picker's candidates after a change of the view or of the
 // ejections. s.mu must be held.
-func (s *service) refresh(now clock.Milli, v *model.View, name string, centres map[string]string) {
+func (s *service) refresh(now clock.Milli, v *model.View, name string, self *Self) {
 	for id, until := range s.ejectedUntil {
 		if now >= until {
 			delete(s.ejectedUntil, id)
@@ -101,7 +108,7 @@
 		}
 		candidates = append(candidates, pick.Candidate{
 			Name:    t.ID,
-			Region:  centres[t.Centre],
+			Region:  self.Centres[t.Centre],
 			Centre:  t.Centre,
 			Slots:   t.Slots,
 			Leaving: t.Leaving || isEjected[t.ID],
@@ -114,6 +121,7 @@
 		}
 	}
 	s.picker.SetTargets(candidates)
+	s.setByTime(now, v, self)
 }
 
 // ejected returns the targets that are ejected now. If no target would be left
