--- a/internal/proxy/settings.go
+++ b/internal/proxy/settings.go
@@ -306,7 +306,7 @@
 	case learnOff:
 		return false
 	}
-	return c != nil && c.Learns()
+	return c.Learns()
 }
 
 // inboundPort returns the port of the inbound listener, which is the same on
--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -105,8 +105,9 @@
 }
 
 // Learns reports whether daemons learn what targets can do and choose them by it
-// unless told otherwise: where callers have accounts or send uploads.
-func (c *Config) Learns() bool { return c.Accounts.InForce() || c.HasUploads() }
+// unless told otherwise: where callers have accounts or send uploads. They do not
+// without a configuration, for which c is nil.
+func (c *Config) Learns() bool { return c != nil && (c.Accounts.InForce() || c.HasUploads()) }
 
 // SortRoutes sorts the routes of each host by prefix length, longest first, as
 // Match requires.
--- a/internal/trans/flow/early_test.go
+++ b/internal/trans/flow/early_test.go
@@ -95,7 +95,7 @@
 			now := clock.Milli(1000)
 			o := newTestOutbound(&now)
 			s := o.service("s")
-			s.refresh(now, o.cfg.View(), "s", nil)
+			s.refresh(now, o.cfg.View(), "s", &o.cfg.Self)
 			s.applyFeedback(now, "t", "u", peer.Feedback{
 				Threshold: tt.threshold,
 			})
--- a/internal/trans/flow/ranks_test.go
+++ b/internal/trans/flow/ranks_test.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// viewOf returns a view of a configuration with the accounts, without any if there
+// accountsView returns a view of a configuration with the accounts, without any if there
 // are no names.
-func viewOf(t *testing.T, names ...string) *model.View {
+func accountsView(t *testing.T, names ...string) *model.View {
 	t.Helper()
 	cfg := model.Config{
 		Version: 1,
@@ -95,7 +95,7 @@
 // no accounts are in force.
 func TestOrderIsTheSameAtEachHop(t *testing.T) {
 	c := clock.NewFake(clock.Second)
-	with, none := viewOf(t, "calm", "hot"), viewOf(t)
+	with, none := accountsView(t, "calm", "hot"), accountsView(t)
 	first, deep := newTestSide(c, with), newTestSide(c, none)
 	var root *call
 	for range 4000 {
@@ -137,7 +137,7 @@
 // caller makes up, or that the target gets to see.
 func TestStatementsBetweenDaemons(t *testing.T) {
 	c := clock.NewFake(clock.Second)
-	with, none := viewOf(t, "calm", "hot"), viewOf(t)
+	with, none := accountsView(t, "calm", "hot"), accountsView(t)
 	sender, receiver, old := newTestSide(c, with), newTestSide(c, with), newTestSide(c, none)
 	for range 1000 {
 		sender.enter(with, "x", "hot")
