Look for no lenders where no client accounts are in force

With the bounds of rate limits in the settings and no client accounts in the configuration, each daemon still listed the members every 200 ms.

--- a/internal/trans/flow/quota.go
+++ b/internal/trans/flow/quota.go
@@ -345,6 +345,9 @@
 		return
 	}
 	l.refreshAccounts(v.Config)
+	if !v.Config.Accounts.InForce() {
+		return
+	}
 	for _, o := range l.due(v) {
 		go l.run("send a share", func() { l.exchange(&o) })
 	}
--- a/internal/trans/flow/quota_test.go
+++ b/internal/trans/flow/quota_test.go
@@ -133,6 +133,53 @@
 	}
 }
 
+// Guards against requests that count towards a limit and should not.
+func TestNeedsToken(t *testing.T) {
+	limited := identity{
+		account: &acct.Account{
+			Rate: 1,
+		},
+	}
+	call := limited
+	call.isCall = true
+	tests := map[string]struct {
+		who  identity
+		span clock.Milli
+		want bool
+	}{
+		"account with a limit": {
+			who:  limited,
+			span: clock.Second,
+			want: true,
+		},
+		"call of a target": {
+			who:  call,
+			span: clock.Second,
+		},
+		"account without a limit": {
+			who: identity{
+				account: &acct.Account{},
+			},
+			span: clock.Second,
+		},
+		"public route": {
+			span: clock.Second,
+		},
+		"no bounds in the settings": {
+			who: limited,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			o := &Outbound{}
+			o.cfg.Quota.Window = tt.span
+			if got := o.needsToken(tt.who); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against a daemon that answers 503 because it has not looked for lenders yet.
 func TestRequestBeforeTheFirstTick(t *testing.T) {
 	l := newTestLimiter(t)
