--- a/internal/state/pick/bytime_test.go
+++ b/internal/state/pick/bytime_test.go
@@ -176,6 +176,48 @@
 	}
 }
 
+// TestFastTargetsGetMore guards against targets that get the same number of calls
+// although one completes more than twice as many, and against slow ones that get
+// nearly none.
+func TestFastTargetsGetMore(t *testing.T) {
+	p := pick.New(pick.Config{
+		Region:         "east",
+		Centre:         "east-1",
+		ByExpectedTime: true,
+	})
+	p.SetTargets([]pick.Candidate{candidate("slow", "east"), candidate("fast", "east")})
+	took := map[string]clock.Milli{
+		"slow": 43,
+		"fast": 19,
+	}
+	counts := map[string]int{}
+	const calls = 10_000
+	for i := range calls {
+		now := clock.Milli(i)
+		c, err := p.Choose(now, pick.Query{
+			Op:          op,
+			LatencyGoal: 200,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts[c.Target]++
+		p.Finished(now+took[c.Target], p.Started(now, c.Target, op), pick.Done)
+		p.ReportLoad(now, c.Target, pick.LoadReport{
+			Short: pick.Lane{
+				Running: 50,
+				Limit:   100,
+			},
+			Throughput: 30_000 / float64(took[c.Target]),
+		})
+	}
+	// In proportion to what they complete, the fast one gets 0.69 of the calls. While
+	// both state the same load, it gets more.
+	if got := float64(counts["fast"]) / calls; got < 0.6 || got > 0.9 {
+		t.Errorf("%.2f of the calls went to the fast target, want 0.6 to 0.9", got)
+	}
+}
+
 // TestSwitchedOff guards against a choice that stays changed after the switch is
 // turned off.
 func TestSwitchedOff(t *testing.T) {
