End an attempt of the uneven bench at its deadline

Cause: a sender waited for answers that came after the deadline, which the platform's daemons don't, so that a link slower than the deadline seemed to answer.

Change: in scenarios with Uneven an attempt without an answer ends at the deadline.

--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -100,14 +100,15 @@
 		},
 	}
 	c.inFlight = append(c.inFlight, a)
-	if f.isCut(c.d.centre, a.to.centre) {
+	if f.scenario.Uneven != nil {
 		f.after(c.req.deadline-f.at, func() { c.lose(a) })
+	}
+	if f.isCut(c.d.centre, a.to.centre) {
 		return
 	}
 	latency := f.latency(c.d.centre, a.to.centre)
 	a.inbound.respond = func(o outcome) {
 		if f.isCut(c.d.centre, a.to.centre) {
-			f.after(c.req.deadline-f.at, func() { c.lose(a) })
 			return
 		}
 		f.after(f.latency(c.d.centre, a.to.centre), func() {
@@ -121,9 +122,9 @@
 	f.after(latency, func() { a.to.target.arrive(a.inbound) })
 }
 
-// lose ends an attempt whose request or answer was lost, at its deadline.
+// lose ends an attempt that has no answer at its deadline.
 func (c *call) lose(a *attempt) {
-	if c.ended {
+	if c.ended || !slices.Contains(c.inFlight, a) {
 		return
 	}
 	c.picker().Finished(c.d.f.now(), a.pickCall, pick.Canceled)
