Keep small targets, slow operations and stragglers in good time

Cause: the load counted the call itself, so that a target of four slots was full with three calls and an unknown one always; operations that always take long were never in good time and compared all data centres each time; a failing target that was drawn lost the comparison and was not tried; where the wait was overestimated, slowness became a ratio of remainders and ejected sound targets.

Change: the load is without the call; good time is at least 1.5 and at most 3 times the usual time; a drawn failing target that may be tried is tried; at least half of the time at the target counts as service; a failed call counts as slow only by its time, since the failure rate counts it.

--- a/internal/state/pick/bytime.go
+++ b/internal/state/pick/bytime.go
@@ -18,6 +18,8 @@
 	maxTries = 8
 	// minShare is the least probability with which a drawn target is compared.
 	minShare = 0.02
+	// minSlowness bounds the part of the slowness in what a target completes.
+	minSlowness = 0.1
 	// loadSpread is the difference of two loads from which the lesser one is
 	// always chosen. Below it the choice is random, so that senders that see the
 	// same statements do not all choose the same target.
@@ -42,10 +44,13 @@
 	// the link while the own region has room, as a part of the time there.
 	soonerPart = 0.25
 	// goalPart and leftPart are the parts of the latency goal and of the time
-	// left within which a call is in good time. usualFactor bounds the time of a
-	// call without either, as a multiple of the operation's usual time.
-	goalPart    = 0.3
-	leftPart    = 0.25
+	// left within which a call is in good time.
+	goalPart = 0.3
+	leftPart = 0.25
+	// goodFactor and usualFactor bound that time from below and above, as multiples
+	// of the operation's usual time: a call that always takes long is in time, one
+	// at a straggler is not.
+	goodFactor  = 1.5
 	usualFactor = 3
 )
 
@@ -63,7 +68,7 @@
 		}, nil
 	}
 	near := p.better(q, o, own, p.bestAt(now, q, o, ownRegion))
-	if near.t != nil && near.load < spareLoad && p.isInTime(q, o, &near) {
+	if near.isTrial || near.t != nil && near.load < spareLoad && p.isInTime(q, o, &near) {
 		return Choice{
 			Target: near.t.Name,
 		}, nil
@@ -87,7 +92,7 @@
 // stays reports whether a call stays in the own data centre without a look at
 // others.
 func (p *Picker) stays(q *Query, o *operation, own *estimate) bool {
-	return p.isInTime(q, o, own) && !p.leaves(own.load, spareLoad, crowdedLoad)
+	return own.isTrial || p.isInTime(q, o, own) && !p.leaves(own.load, spareLoad, crowdedLoad)
 }
 
 // leaves reports whether a call leaves a place of the load: never up to low,
@@ -106,8 +111,8 @@
 	if q.TimeLeft > 0 {
 		bound = min(bound, leftPart*float64(q.TimeLeft))
 	}
-	if math.IsInf(bound, 1) && o.service > 0 {
-		bound = usualFactor * o.service
+	if o.service > 0 {
+		bound = min(max(bound, goodFactor*o.service), usualFactor*o.service)
 	}
 	return e.time <= bound
 }
@@ -119,8 +124,10 @@
 	switch {
 	case a.t == nil:
 		return b
-	case b.t == nil:
+	case b.t == nil, a.isTrial:
 		return a
+	case b.isTrial:
+		return b
 	}
 	inTime := p.isInTime(q, o, &a)
 	switch {
@@ -210,6 +217,11 @@
 			continue
 		}
 		compared++
+		if t.isFailing(now) && !p.allFail {
+			best = p.estimateOf(now, q, o, t)
+			best.isTrial = true
+			return best
+		}
 		if t != best.t {
 			best = p.better(q, o, best, p.estimateOf(now, q, o, t))
 		}
@@ -246,7 +258,7 @@
 		p.recordTime(now, t, o, f, took)
 	case Failed:
 		t.addOutcome(now, true)
-		t.addSample(now, max(failedSlowness, t.averageSlowness))
+		t.addSample(now, max(f.slowness(now), t.averageSlowness))
 	case Canceled:
 		if slow := f.slowness(now); slow > latencyTolerance {
 			t.place.addExcess(now, float64(took)-f.allowed-t.averageSlowness*o.service)
@@ -312,5 +324,5 @@
 	if limit := t.report.lane(rules.Short).Limit; limit > 0 && t.hasFreshReport(now) {
 		slots = min(slots, limit)
 	}
-	return float64(max(slots, 1)) * t.ramp(now) / max(t.averageSlowness, minServicePart)
+	return float64(max(slots, 1)) * t.ramp(now) / max(t.averageSlowness, minSlowness)
 }
--- a/internal/state/pick/bytime_test.go
+++ b/internal/state/pick/bytime_test.go
@@ -205,8 +205,8 @@
 		p.Finished(now+took[c.Target], p.Started(now, c.Target, op), pick.Done)
 		p.ReportLoad(now, c.Target, pick.LoadReport{
 			Short: pick.Lane{
-				Running: 50,
-				Limit:   100,
+				Running: 2,
+				Limit:   4,
 			},
 			Throughput: 30_000 / float64(took[c.Target]),
 		})
--- a/internal/state/pick/estimate.go
+++ b/internal/state/pick/estimate.go
@@ -12,9 +12,12 @@
 	// serviceStep is the step of the running median of an operation's service
 	// time.
 	serviceStep = 1.0 / 32
-	// minServicePart bounds a service time from below, as a part of the time
-	// that the call took, where the estimates of network and wait exceed it.
-	minServicePart = 0.1
+	// minTargetPart is the least part of the time of a call that counts as spent
+	// at the target, and minServicePart the least part of that which counts as
+	// service, where the estimates of network and wait exceed them. A lower bound
+	// would make slowness a ratio of small remainders.
+	minTargetPart  = 0.1
+	minServicePart = 0.5
 	// statementTime is the time constant with which a stated load turns into
 	// usualLoad, the load of a target that has not stated any. A target that
 	// stated that it is full is thus tried again before the statement ends.
@@ -47,12 +50,14 @@
 	// network.
 	wait    float64
 	network float64
-	// load is the number of requests at the target, this call included, per
-	// request that it can run at once.
+	// load is the number of requests at the target per request that it can run at
+	// once.
 	load float64
 	// isKnown says that the load was stated lately by the target or others at
 	// its place.
 	isKnown bool
+	// isTrial says that the call tries a failing target.
+	isTrial bool
 }
 
 // estimateOf returns the estimate for a call at t. The calls that this daemon
@@ -95,7 +100,7 @@
 	}
 	ahead := stated + 1 - limit
 	e.wait = max(e.wait, ahead/rate*float64(clock.Second), 0)
-	e.load = (stated + 1) / limit
+	e.load = stated / limit
 	e.time = max(e.network+e.wait+service, 1) / (1 - min(t.failureRate(now), maxFailures))
 	return e
 }
@@ -176,7 +181,8 @@
 // is counted for the network.
 func (p *Picker) recordTime(now clock.Milli, t *target, o *operation, f *inFlight, took clock.Milli) {
 	network := t.place.network(now)
-	service := max(float64(took)-network-f.wait, float64(took)*minServicePart, 1)
+	atTarget := max(float64(took)-network, float64(took)*minTargetPart)
+	service := max(atTarget-f.wait, atTarget*minServicePart, 1)
 	if o.service > 0 {
 		t.place.addExcess(now, float64(took)-network-f.wait-t.averageSlowness*o.service)
 		t.addSample(now, service/o.service)
