Tell in logs and trace why a body was not read

A request that was refused by its header was logged without its service and route, and an attempt whose body was given up without a line 501, so that trace could not name the cause of the latter. The former now has a line 500 with its service and the reason "early: every target would refuse"; the latter a line 501 with the reason unread, which trace calls "body not read". The test row of this cause failed before.

--- a/internal/proto/diag/cause.go
+++ b/internal/proto/diag/cause.go
@@ -33,6 +33,9 @@
 	TargetRefused Cause = "turned away by the target"
 	// TargetLeaving means that the target takes no new work.
 	TargetLeaving Cause = "target leaving"
+	// BodyNotRead means that the daemon beside the target gave up the body of the
+	// request: it took too long, or there was no memory for it.
+	BodyNotRead Cause = "body not read"
 	// TargetUnreached means that nothing could be sent to the target or its
 	// daemon.
 	TargetUnreached Cause = "target not reached"
@@ -63,6 +66,7 @@
 	peer.ReasonMisdirected:          TargetLeaving,
 	peer.ReasonReplaced:             TargetLeaving,
 	peer.ReasonUnreached:            TargetUnreached,
+	peer.ReasonUnread:               BodyNotRead,
 	// An exchange with the target that failed before anything was sent.
 	"unsent": TargetUnreached,
 }
--- a/internal/proto/diag/diag_test.go
+++ b/internal/proto/diag/diag_test.go
@@ -55,6 +55,17 @@
 			want: NoTarget,
 			id:   "a",
 		},
+		"a body that the daemon of the target gave up": {
+			log: answerLine(`"id":"a","end":"refused","reason":"not-run unread","status":503`) +
+				attemptLine(`"id":"a","outcome":"not-run","reason":"unread","status":408`),
+			want: BodyNotRead,
+			id:   "a",
+		},
+		"refused by its header, since every target would": {
+			log:  answerLine(`"id":"a","end":"refused","reason":"early: every target would refuse","service":"s","status":503`),
+			want: NoTarget,
+			id:   "a",
+		},
 		"a query is not an attempt": {
 			log: answerLine(`"id":"a","end":"refused","reason":"not-run unreached","status":503`) +
 				attemptLine(`"id":"a","ask":true,"outcome":"not-run","reason":"full"`),
--- a/internal/trans/flow/early.go
+++ b/internal/trans/flow/early.go
@@ -8,6 +8,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
 )
@@ -21,6 +22,14 @@
 	who    identity
 }
 
+// rank returns what determines the shedding rank of the request at gates.
+func (e *entry) rank() (importance rules.Importance, root uint64) {
+	if e.parent != nil {
+		return e.parent.Importance, e.parent.Root
+	}
+	return importanceOf(priorityOf(e.route, e.who)), xxhash.Sum64String(e.id)
+}
+
 // enter decides by the header of a request whether it is let in. It returns the reply
 // to one that is not, and nil otherwise.
 func (o *Outbound) enter(r *http1.Request, id string, parent *Parent) (entry, *http1.Reply) {
@@ -93,21 +102,43 @@
 	if !o.allWouldRefuse(&e) {
 		return http1.Reply{}, false
 	}
-	if parent != nil {
-		parent.callFailed.Store(true)
+	return o.refuseEarly(r, &e), true
+}
+
+// refuseEarly refuses a request whose body was not read, because every target would
+// refuse it.
+func (o *Outbound) refuseEarly(r *http1.Request, e *entry) http1.Reply {
+	const reason = "early: every target would refuse"
+	importance, root := e.rank()
+	c := &call{
+		r:          r,
+		id:         e.id,
+		route:      e.route,
+		view:       e.view,
+		service:    e.route.Services[0].Service,
+		importance: importance,
+		root:       root,
+		deadline:   o.deadlineOf(r, e.route),
+		reason:     reason,
+	}
+	if e.parent != nil {
+		c.depth = e.parent.Depth + 1
+		e.parent.callFailed.Store(true)
+	}
+	a := o.cfg.refusal(e.id, "not run: "+reason, minRetryAfter)
+	took := o.cfg.Clock.Now() - r.Arrived
+	o.cfg.Metrics.Answered(event.EndRefused, took)
+	o.log(c, &a, event.EndRefused, took)
+	return http1.Reply{
+		Answer: a,
 	}
-	const reason = "every target would refuse, by the header"
-	return o.answerDirectly(r, e.view, event.EndRefused, reason, o.cfg.refusal(id, "not run: "+reason, minRetryAfter)), true
 }
 
 // allWouldRefuse reports whether every target of all services of the route would refuse
 // the request.
 func (o *Outbound) allWouldRefuse(e *entry) bool {
 	now := o.cfg.Clock.Now()
-	importance, root := importanceOf(priorityOf(e.route, e.who)), xxhash.Sum64String(e.id)
-	if e.parent != nil {
-		importance, root = e.parent.Importance, e.parent.Root
-	}
+	importance, root := e.rank()
 	for i := range e.route.Services {
 		name := e.route.Services[i].Service
 		if !o.service(name).allWouldRefuse(now, e.route.Name, importance, root) {
@@ -168,6 +199,7 @@
 	n.cfg.Metrics.Refused(peer.ReasonUnread)
 	fb := n.feedback(peer.NotRun, peer.ReasonUnread)
 	fb.Received = true
+	n.log(r, hop, &a, fb, passage{}, n.cfg.Clock.Now()-r.Arrived)
 	return n.reply(a, fb).Answer
 }
 
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -223,20 +222,19 @@
 }
 
 func (o *Outbound) newCall(r *http1.Request, e entry) *call {
+	importance, root := e.rank()
 	c := &call{
 		r:          r,
 		id:         e.id,
 		route:      e.route,
 		view:       e.view,
 		service:    o.chooseService(e.route),
-		importance: importanceOf(priorityOf(e.route, e.who)),
-		root:       xxhash.Sum64String(e.id),
+		importance: importance,
+		root:       root,
 		deadline:   o.deadlineOf(r, e.route),
 	}
 	if parent := e.parent; parent != nil {
 		c.parent = parent
-		c.importance = parent.Importance
-		c.root = parent.Root
 		c.depth = parent.Depth + 1
 		o.graph.add(o.cfg.Clock.Now(), parent.Path, edge{
 			service: c.service,
