Measure decisions of the gate while it learns

Cause: the cost of a decision with a learner was not known.

Change: BenchmarkOfferDone has a case that learns, under four times the load.

--- a/internal/state/admit/gate_test.go
+++ b/internal/state/admit/gate_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -234,10 +235,11 @@
 }
 
 func BenchmarkOfferDone(b *testing.B) {
-	for name, factor := range map[string]uint64{"calm": 1, "overload": 4} {
+	for name, factor := range map[string]uint64{"calm": 1, "overload": 4, "learning, overload": 4} {
 		b.Run(name, func(b *testing.B) {
 			g := admit.New(admit.Config{
 				Slots: 130,
+				Learn: strings.HasPrefix(name, "learning"),
 			})
 			running := make([]admit.Request, 0, 256)
 			b.ReportAllocs()
