Decide trials of a target with uneven work

Cause: with exponentially distributed times a trial ended after its 24 rounds with some evidence against the present limit, and the limit stayed. The first trial kept phases that were chosen before the times were known.

Change: after the last round one standard error is enough for the lower limit. The length of the phases follows with each round.

--- a/internal/state/learn/learn.go
+++ b/internal/state/learn/learn.go
@@ -286,7 +286,7 @@
 
 // endPhase ends a phase of the trial, and the trial once its result is clear.
 func (l *Learner) endPhase(now clock.Milli) {
-	v := l.trial.endPhase(now, l.recent.ownShare())
+	v := l.trial.endPhase(now, l.recent.ownShare(), l.recent.phase())
 	switch v {
 	case undecided:
 		return
--- a/internal/state/learn/trial.go
+++ b/internal/state/learn/trial.go
@@ -23,8 +23,10 @@
 	// lowEvidence is the number of standard errors that the adoption or retention of
 	// the lower limit needs, highEvidence that of the higher one. The higher one needs
 	// less, because slots are assumed to be of use.
+	// After maxRounds, lastEvidence is enough for the lower one.
 	lowEvidence  = 2.5
 	highEvidence = 1.5
+	lastEvidence = 1.0
 	// lowClass and highClass bound the mean concurrency of the requests that count
 	// for either limit, as parts of the way from the lower to the higher one.
 	lowClass  = 0.3
@@ -133,8 +135,11 @@
 }
 
 // endPhase ends a phase and, with each second one, a round.
-func (t *trial) endPhase(now clock.Milli, ownShare float64) verdict {
+func (t *trial) endPhase(now clock.Milli, ownShare float64, phase clock.Milli) verdict {
 	t.phase++
+	if t.phase%2 == 0 {
+		t.phaseLength = phase
+	}
 	t.phaseEnd = now + t.phaseLength
 	if t.phase%2 != 0 {
 		return undecided
@@ -186,7 +191,7 @@
 		return undecided
 	case mean < worth:
 		return keepHigh
-	case t.isUp:
+	case t.isUp, mean-worth > lastEvidence*deviation:
 		return keepLow
 	}
 	// Without evidence against it, the present limit stays.
