Let statements hold for longer where calls take longer

Change: a statement holds for 1.5 times the service time, at least 50 ms; long calls assume the usual load of a place.

--- a/internal/state/pick/estimate.go
+++ b/internal/state/pick/estimate.go
@@ -21,7 +21,10 @@
 	// statementTime is the time constant with which a stated load turns into
 	// usualLoad, the load of a target that has not stated any. A target that
 	// stated that it is full is thus tried again before the statement ends.
+	// The longer calls take, the longer it holds: for statementPart of their service
+	// time.
 	statementTime = 50 * clock.Millisecond
+	statementPart = 1.5
 	placeTime     = 300 * clock.Millisecond
 	usualLoad     = 0.9
 	// failureWeight and successWeight are the weights of one outcome in a
@@ -92,9 +95,10 @@
 	if e.isKnown {
 		keep := 0.0
 		if t.hasFreshReport(now) {
-			keep = math.Exp(-float64(max(0, now-t.reportedAt)) / float64(statementTime))
+			fade := max(float64(statementTime), statementPart*service)
+			keep = math.Exp(-float64(max(0, now-t.reportedAt)) / fade)
 		}
-		placeLoad := t.place.loadAt(now)*limit + float64(unseen)
+		placeLoad := t.place.loadFor(now, q.Cost)*limit + float64(unseen)
 		stated = placeLoad + (stated-placeLoad)*keep
 		e.wait *= keep
 	}
--- a/internal/state/pick/place.go
+++ b/internal/state/pick/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -55,7 +56,7 @@
 	// probeGap the time until the next.
 	probedAt clock.Milli
 	probeGap clock.Milli
-	// load is a moving average of the loads that the targets of the place
+	// load is a moving average of the loads of short calls that the targets of the place
 	// stated, last at reportedAt.
 	load       float64
 	reportedAt clock.Milli
@@ -146,6 +147,14 @@
 	return usualLoad + (pl.load-usualLoad)*math.Exp(-age/float64(placeTime))
 }
 
+// loadFor returns loadAt for calls of a cost class. It is known of short ones.
+func (pl *place) loadFor(now clock.Milli, cost rules.Cost) float64 {
+	if cost == rules.Long {
+		return usualLoad
+	}
+	return pl.loadAt(now)
+}
+
 // distanceOf returns the distance of a candidate.
 func (p *Picker) distanceOf(c *Candidate) distance {
 	switch {
