Refuse callers' requests whose chains of calls have no room

Cause: the package room was not used by the daemon.

Change: daemons exchange the state of overloaded services in Siskin-Load, and refuse callers' requests by it, with the reason chain, events 410 and 411 and siskin_held_back. Answers tell which overloaded services a request needed. It takes effect only where the configuration has client accounts or upload routes (Config.Learns); elsewhere nothing is sent.

--- a/internal/proto/diag/cause.go
+++ b/internal/proto/diag/cause.go
@@ -28,6 +28,9 @@
 	// NoCapacityDownstream means that a service which the request would call
 	// has no capacity.
 	NoCapacityDownstream Cause = "no room at a deeper service"
+	// NoRoomForChain means that the entry let the request in nowhere, because a
+	// service of its chain of calls is overloaded.
+	NoRoomForChain Cause = "no room for the chain of calls"
 	// TargetRefused means that the target itself refused the request after
 	// admission control had let it pass.
 	TargetRefused Cause = "turned away by the target"
@@ -59,6 +62,7 @@
 	peer.ReasonCanceled:             CallerDisconnected,
 	peer.ReasonLeaving:              TargetLeaving,
 	peer.ReasonDownstream:           NoCapacityDownstream,
+	peer.ReasonNoRoom:               NoRoomForChain,
 	peer.ReasonTargetRefused:        TargetRefused,
 	peer.ReasonMisdirected:          TargetLeaving,
 	peer.ReasonReplaced:             TargetLeaving,
--- a/internal/proto/diag/diag_test.go
+++ b/internal/proto/diag/diag_test.go
@@ -91,6 +91,11 @@
 			want: NoRoute,
 			id:   "a",
 		},
+		"no room for the chain of calls": {
+			log:  answerLine(`"id":"a","end":"refused","reason":"chain","status":503`),
+			want: NoRoomForChain,
+			id:   "a",
+		},
 		"no configuration": {
 			log:  answerLine(`"id":"a","end":"unready","status":503`),
 			want: DaemonNotReady,
--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -56,6 +56,8 @@
 	Overload         = Event{Number: 400, Text: "target is overloaded and sheds work"}
 	Recovered        = Event{Number: 401, Text: "target is no longer overloaded"}
 	GuardFull        = Event{Number: 402, Text: "table of once-only requests was full"}
+	HoldsBack        = Event{Number: 410, Text: "callers' requests are refused, because their chains of calls have no room"}
+	LetsIn           = Event{Number: 411, Text: "callers' requests are no longer refused for their chains of calls"}
 	Answered         = Event{Number: 500, Text: "request answered"}
 	Attempt          = Event{Number: 501, Text: "attempt at the target ended"}
 	LinesOmitted     = Event{Number: 502, Text: "log lines left out"}
@@ -126,6 +128,8 @@
 		Overload,
 		Recovered,
 		GuardFull,
+		HoldsBack,
+		LetsIn,
 		Answered,
 		Attempt,
 		LinesOmitted,
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/room"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/ticket"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -102,6 +103,9 @@
 	// ReasonDownstream means that a service further downstream would refuse the
 	// request.
 	ReasonDownstream = "deeper"
+	// ReasonNoRoom means that the entry let the request in nowhere, because a service
+	// of its chain of calls has no room for it.
+	ReasonNoRoom = "chain"
 	// ReasonCanceled means that the sender left while the request waited.
 	ReasonCanceled = "canceled"
 )
@@ -155,6 +159,9 @@
 	// Ends is the time until the daemon ends, 0 if it does not stop. It travels in
 	// [HeaderEnds].
 	Ends clock.Milli
+	// Needs are the calls to overloaded services that the request needed. They travel
+	// in [HeaderLoad].
+	Needs []room.Need
 	// Received says that the feedback came from the daemon beside the target.
 	// It is false for feedback that the sender infers, for example from a
 	// failed exchange, and it is not sent.
@@ -226,7 +233,7 @@
 	}, nil
 }
 
-// String returns f as the value of [HeaderFeedback]. Ends and Received are left out.
+// String returns f as the value of [HeaderFeedback]. Ends, Needs and Received are left out.
 func (f Feedback) String() string {
 	return strings.Join([]string{
 		strconv.Itoa(int(f.Outcome)),
--- a/internal/proto/peer/peer_test.go
+++ b/internal/proto/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -54,7 +55,7 @@
 			Received: true,
 		}
 		got, err := ParseFeedback(want.String())
-		if err != nil || got != want {
+		if err != nil || !reflect.DeepEqual(got, want) {
 			t.Fatalf("got %+v and %v, want %+v", got, err, want)
 		}
 	})
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -74,7 +74,7 @@
 	malformedRetryAfter = 500 * clock.Millisecond
 	// hopHeadBytes is the room for the header fields that daemons add to a
 	// request.
-	hopHeadBytes = 1 << 10
+	hopHeadBytes = 2 << 10
 )
 
 // Daemon is the whole process. It is created by [New], runs from [Daemon.Start]
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -87,6 +87,7 @@
 // flowMetrics returns the callbacks with which the data path updates the metrics.
 func (m *meter) flowMetrics() flow.Metrics {
 	attempts := m.scope.Counter("attempts")
+	heldBack := m.scope.Counter("held_back")
 	repeats := m.scope.Counter("repeats")
 	opened := m.scope.Counter("target_connections")
 	answer := m.scope.Histogram("answer_time", latencyBuckets)
@@ -104,6 +105,7 @@
 		Attempts:         func() { attempts.Inc(1) },
 		Retries:          func() { repeats.Inc(1) },
 		Refused:          func(reason string) { m.count("refusals", "reason", reason) },
+		HeldBack:         func() { heldBack.Inc(1) },
 		StatementIgnored: func(kind string) { m.count("statements_ignored", "kind", kind) },
 		ConnOpened:       func() { opened.Inc(1) },
 	}
--- a/internal/proxy/meter_test.go
+++ b/internal/proxy/meter_test.go
@@ -37,6 +37,7 @@
 	counts.Attempts()
 	counts.Retries()
 	counts.Refused("full")
+	counts.HeldBack()
 	counts.StatementIgnored("asks")
 	counts.ConnOpened()
 	counts.SlotWait(clock.Second)
--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -64,6 +64,8 @@
 	LatencyGoal clock.Milli
 	// Priority orders routes by importance; 0 is the most important.
 	Priority int
+	// Upload says that requests have large bodies. They are not idempotent either.
+	Upload bool
 	// Public says that callers need no key, also where client accounts are in
 	// force.
 	Public bool
@@ -78,6 +80,22 @@
 	Weight float64
 }
 
+// Learns reports whether the configuration asks for decisions that daemons make from
+// what they learn of each other: it has client accounts or routes for uploads.
+func (c *Config) Learns() bool {
+	if c.Accounts.InForce() {
+		return true
+	}
+	for _, routes := range c.Hosts {
+		for i := range routes {
+			if routes[i].Upload {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Match returns the route of host with the longest prefix of path, and false if
 // there is none. The routes must be sorted, see SortRoutes.
 func (c *Config) Match(host, path string) (*Route, bool) {
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -22,18 +22,26 @@
 	if n.isOtherTarget(hop.Target) {
 		return n.refuse(r, hop, peer.ReasonReplaced)
 	}
-	if !n.DownstreamThreshold(hop.Path).Passes(hop.Importance, hop.RootHash) {
+	learns := n.rooms.isOn(n.cfg.View())
+	letIn := learns && hop.Depth > 0
+	if !letIn && !n.DownstreamThreshold(hop.Path).Passes(hop.Importance, hop.RootHash) {
 		return n.refuse(r, hop, peer.ReasonDownstream)
 	}
 	deadline := now + timeLeft(r, n.cfg.Headers.Deadline)
 	if n.endsBefore(deadline) {
 		return n.refuse(r, hop, peer.ReasonEnding)
 	}
+	expected := clock.Milli(0)
+	if learns {
+		expected = max(gate.Stats().ExpectedTime, 1)
+		n.rooms.arrive(now, expected)
+	}
 	req, d, signals := gate.Offer(admit.Request{
 		Path:       hop.Path,
 		Importance: hop.Importance,
 		RootHash:   hop.RootHash,
 		Depth:      hop.Depth,
+		LetIn:      letIn,
 		Deadline:   deadline,
 	})
 	switch d.Verdict {
@@ -49,7 +57,13 @@
 	p.waited = start - now
 	n.cfg.Metrics.SlotWait(p.waited)
 	runTime := clock.Milli(-1)
-	defer func() { gate.Done(req, runTime) }()
+	defer func() {
+		gate.Done(req, runTime)
+		if expected > 0 {
+			end := n.cfg.Clock.Now()
+			n.rooms.done(end, expected, end-start)
+		}
+	}()
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, peer.ReasonCanceled)
 	}
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -50,6 +50,7 @@
 		}
 		a, fb := o.attempt(ctx, c, &t)
 		o.finishAttempt(s, c, t, flight, fb)
+		o.local.rooms.learnNeeds(&o.cfg, c, fb.Needs)
 		c.reason = fb.Outcome.String() + " " + fb.Reason
 		c.recordAttempt(t.ID, fb)
 		switch fb.Outcome {
@@ -176,6 +177,7 @@
 		Op:         c.route.Name,
 		Importance: c.importance,
 		RootHash:   c.root,
+		LetIn:      c.depth > 0 && o.local.rooms.isOn(c.view),
 		Exclude:    excluded,
 		Bytes:      typicalCallBytes,
 	}
@@ -269,7 +271,8 @@
 		return o.local.Run(ctx, &r, hop)
 	}
 	r.Fields = o.cfg.withSeen(http1.WithField(r.Fields, peer.HeaderHop, hop.String()))
-	r.Fields = o.local.ranks.with(o.cfg.Clock.Now(), o.cfg.View(), r.Fields)
+	now, v := o.cfg.Clock.Now(), o.cfg.View()
+	r.Fields = o.local.rooms.with(now, v, o.local.ranks.with(now, v, r.Fields), nil)
 	askedAt := o.cfg.askProof()
 	a, err := o.peers.Do(ctx, o.cfg.addrOf(t), &r, opts)
 	if err != nil {
@@ -277,6 +280,8 @@
 	}
 	a.Fields = o.cfg.takeProof(askedAt, o.cfg.takeSeen(a.Fields))
 	a.Fields = o.local.ranks.take(&o.cfg, a.Fields)
+	needs, fields := o.local.rooms.take(&o.cfg, a.Fields)
+	a.Fields = fields
 	fb, err := peer.ParseFeedback(http1.Get(a.Fields, peer.HeaderFeedback))
 	if err != nil {
 		return a, peer.Feedback{
@@ -286,6 +291,7 @@
 	}
 	a.Fields = http1.WithoutField(a.Fields, peer.HeaderFeedback)
 	fb.Ends, a.Fields = o.cfg.takeEnds(a.Fields)
+	fb.Needs = needs
 	return a, fb
 }
 
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -69,6 +69,9 @@
 	Refused func(reason string)
 	// ConnOpened reports a new connection to the target.
 	ConnOpened func()
+	// HeldBack reports a caller's request that was refused because its chain of calls
+	// has no room. It is optional.
+	HeldBack func()
 	// StatementIgnored reports a statement of another daemon that could not be used,
 	// by its kind. It is optional.
 	StatementIgnored func(kind string)
@@ -115,6 +118,9 @@
 
 // withDefaults returns c with the optional functions set.
 func (c Config) withDefaults() Config {
+	if c.Metrics.HeldBack == nil {
+		c.Metrics.HeldBack = func() {}
+	}
 	if c.Metrics.StatementIgnored == nil {
 		c.Metrics.StatementIgnored = func(string) {}
 	}
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -14,6 +14,8 @@
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
+	"siskinswitch.example/siskin/internal/state/room"
+	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/ticket"
 	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/internal/trans/slot"
@@ -56,6 +58,7 @@
 	table        *guard.Table
 	targetClient *http1.Client
 	ranks        *ranks
+	rooms        *rooms
 	// DownstreamThreshold returns the threshold below which a request of the
 	// path would be refused further down its chain of calls. It must be set
 	// before the first request.
@@ -90,6 +93,7 @@
 	return &Inbound{
 		cfg:                 cfg,
 		ranks:               newRanks(),
+		rooms:               newRooms(&cfg),
 		running:             make(map[string]*Parent),
 		DownstreamThreshold: func(string) admit.Threshold { return admit.Threshold{} },
 		table: guard.New(guard.Config{
@@ -128,12 +132,14 @@
 		})
 	}
 	r.Fields = n.ranks.take(&n.cfg, n.cfg.takeSeen(http1.WithoutField(r.Fields, peer.HeaderHop)))
+	_, r.Fields = n.rooms.take(&n.cfg, r.Fields)
 	a, fb := n.Run(ctx, r, hop)
 	return n.reply(a, fb)
 }
 
 func (n *Inbound) reply(a guard.Answer, fb peer.Feedback) http1.Reply {
-	a.Fields = n.ranks.with(n.cfg.Clock.Now(), n.cfg.View(), a.Fields)
+	now, v := n.cfg.Clock.Now(), n.cfg.View()
+	a.Fields = n.rooms.with(now, v, n.ranks.with(now, v, a.Fields), fb.Needs)
 	a.Fields = n.cfg.withProof(n.cfg.withSeen(http1.WithField(a.Fields, peer.HeaderFeedback, fb.String())))
 	if fb.Ends > 0 {
 		a.Fields = http1.WithField(a.Fields, peer.HeaderEnds, peer.FormatEnds(fb.Ends))
@@ -377,10 +383,32 @@
 		gate.WithdrawQueued()
 	}
 	gate.Tick()
+	n.stateLoad(now, gate)
 	n.table.Sweep(now)
 	n.targetClient.Sweep()
 }
 
+// stateLoad makes a statement about the load of the target if one is due.
+func (n *Inbound) stateLoad(now clock.Milli, gate *slot.Gate) {
+	n.rooms.tick(&n.cfg, now)
+	if !n.rooms.isOn(n.cfg.View()) {
+		return
+	}
+	st := gate.Stats()
+	n.mu.Lock()
+	id := n.targetRecord.ID
+	n.mu.Unlock()
+	if id == "" {
+		return
+	}
+	n.rooms.state(now, room.Own{
+		Service:  room.KeyOf(n.cfg.Self.Service),
+		Target:   room.KeyOf(id),
+		Capacity: st.Limit,
+		Queued:   st.Lanes[rules.Short].Queued,
+	})
+}
+
 // timeLeft reads from a header how long the sender still waits, in milliseconds that
 // may have a fraction.
 func timeLeft(r *http1.Request, header string) clock.Milli {
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/proto/event"
+	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
@@ -152,6 +153,10 @@
 		reply.Close = true
 		return reply
 	}
+	if parent == nil && !isCallID(id) && !o.local.rooms.decide(&o.cfg, r.Arrived, c) {
+		const reason = "not run: " + peer.ReasonNoRoom
+		return o.answerDirectly(r, v, event.EndRefused, peer.ReasonNoRoom, o.cfg.refusal(id, reason, noRoomRetryAfter))
+	}
 	ctx, cancel := http1.WithTimeout(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
 	a, end := o.run(ctx, c)
--- a/internal/trans/flow/parent.go
+++ b/internal/trans/flow/parent.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"siskinswitch.example/siskin/internal/proto/peer"
+	"siskinswitch.example/siskin/internal/state/room"
 	"siskinswitch.example/siskin/internal/state/rules"
 )
 
@@ -20,6 +21,9 @@
 	Repeat bool
 	// Account is the name of the client account, "" if there is none.
 	Account string
+	// needs are the calls to overloaded services that it has needed so far, of
+	// itself and of its calls. The mutex of [rooms] guards them.
+	needs []room.Need
 	// callFailed is set when one of its calls failed.
 	callFailed atomic.Bool
 }
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -28,6 +28,7 @@
 	a, err := n.targetClient.Do(ctx, n.cfg.Self.TargetAddr, &out, o)
 	n.removeRunning(r.Get(h.ID))
 	a, fb := n.classify(r, a, err)
+	fb.Needs = n.rooms.needsOf(run)
 	fb.ReachedTarget = fb.Reason != peer.ReasonUnreached
 	if a.Status >= fasthttp.StatusInternalServerError && run.callFailed.Load() {
 		fb.Reason = peer.ReasonCallFailed
