--- a/internal/state/fair/fair_test.go
+++ b/internal/state/fair/fair_test.go
@@ -281,28 +281,20 @@
 	r := New()
 	r.SetAccounts(0, tableOf(t, 1, nil))
 	key := r.all[rules.Normal].key
-	for _, s := range []Statement{
-		{
-			Key:  key + 1000,
-			Rate: 1,
-		},
-		{
-			Key:  key,
-			Rate: -1,
-		},
-		{
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
+		if r.Learn(1, Statement{
 			Key:  key,
-			Rate: math.NaN(),
-		},
-		{
-			Key:  key,
-			Rate: math.Inf(1),
-		},
-	} {
-		if r.Learn(1, s) {
-			t.Errorf("%+v is adopted", s)
+			Rate: rate,
+		}) {
+			t.Errorf("a rate of %f is adopted", rate)
 		}
 	}
+	if r.Learn(1, Statement{
+		Key:  key + 1000,
+		Rate: 1,
+	}) {
+		t.Error("an unknown account is adopted")
+	}
 	if got := r.all[rules.Normal].estimate; got != 0 {
 		t.Errorf("estimate %f", got)
 	}
--- a/internal/state/room/room_test.go
+++ b/internal/state/room/room_test.go
@@ -112,86 +112,47 @@
 // and change what is newer or is right.
 func TestMerge(t *testing.T) {
 	known := loadOf(1, 5, 20)
-	change := func(f func(*Load)) Load {
-		l := loadOf(2, 1, 20)
-		f(&l)
-		return l
-	}
-	tests := map[string]struct {
-		load Load
-		want Result
-	}{
-		"newer": {
-			load: loadOf(1, 6, 1),
-			want: Adopted,
-		},
-		"repeated": {
-			load: known,
-			want: Known,
-		},
-		"older": {
-			load: loadOf(1, 4, 1),
-			want: Known,
-		},
-		"newer incarnation with a lower sequence": {
-			load: change(func(l *Load) { l.Target, l.Incarnation, l.Seq = 1, 2, 0 }),
-			want: Adopted,
-		},
-		"older incarnation with a higher sequence": {
-			load: change(func(l *Load) { l.Target, l.Incarnation, l.Seq = 1, 0, 9 }),
-			want: Invalid,
+	tests := map[Result]map[string]func(l *Load){
+		Adopted: {
+			"newer": func(l *Load) { l.Seq++ },
+			"newer incarnation with a lower sequence": func(l *Load) { l.Incarnation, l.Seq = 2, 0 },
+			"another target": func(l *Load) { l.Target = 2 },
 		},
-		"another target": {
-			load: loadOf(2, 1, 1),
-			want: Adopted,
+		Known: {
+			"repeated":                  func(*Load) {},
+			"repeated with another age": func(l *Load) { l.Age = 1 },
+			"older":                     func(l *Load) { l.Seq = 4 },
 		},
-		"held for too long": {
-			load: change(func(l *Load) { l.Age = clock.Second }),
-			want: Invalid,
-		},
-		"negative age": {
-			load: change(func(l *Load) { l.Age = -1 }),
-			want: Invalid,
-		},
-		"from the future": {
-			load: change(func(l *Load) { l.Incarnation = 3600 }),
-			want: Invalid,
-		},
-		"no capacity": {
-			load: change(func(l *Load) { l.Capacity = 0 }),
-			want: Invalid,
-		},
-		"demand that is no number": {
-			load: change(func(l *Load) { l.Demand = math.NaN() }),
-			want: Invalid,
-		},
-		"endless demand": {
-			load: change(func(l *Load) { l.Demand = math.Inf(1) }),
-			want: Invalid,
+		Invalid: {
+			"no incarnation":           func(l *Load) { l.Incarnation, l.Seq = 0, 9 },
+			"held for too long":        func(l *Load) { l.Seq, l.Age = 6, clock.Second },
+			"negative age":             func(l *Load) { l.Seq, l.Age = 6, -1 },
+			"from the future":          func(l *Load) { l.Incarnation = 3600 },
+			"sequence out of range":    func(l *Load) { l.Seq = MaxSeq + 1 },
+			"no capacity":              func(l *Load) { l.Seq, l.Capacity = 6, 0 },
+			"demand that is no number": func(l *Load) { l.Seq, l.Demand = 6, math.NaN() },
+			"endless demand":           func(l *Load) { l.Seq, l.Demand = 6, math.Inf(1) },
 		},
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
+	for want, changes := range tests {
+		for name, change := range changes {
 			r := New(Config{
 				Incarnation: 1,
 			})
-			if got := r.Merge(1, testWall, known); got != Adopted {
-				t.Fatalf("result %d", got)
-			}
-			if got := r.Merge(2, testWall, tt.load); got != tt.want {
-				t.Errorf("result %d, want %d", got, tt.want)
-			}
-			if tt.want == Adopted {
-				return
+			r.Merge(1, testWall, known)
+			l := known
+			change(&l)
+			if got := r.Merge(2, testWall, l); got != want {
+				t.Errorf("%s: result %d, want %d", name, got, want)
 			}
 			kept := r.entries[entryKey{
 				service: testService,
 				target:  1,
 			}]
-			if kept.load != known || len(r.entries) != 1 {
-				t.Errorf("%+v is kept of %d", kept.load, len(r.entries))
+			if want != Adopted && (kept.load != known || len(r.entries) != 1) {
+				t.Errorf("%s: %+v is kept of %d", name, kept.load, len(r.entries))
 			}
-		})
+		}
 	}
 }
 
@@ -304,27 +265,23 @@
 func TestMergeFlow(t *testing.T) {
 	r := newBusyRoom()
 	r.Merge(1000, testWall, loadOf(1, 1, 20))
-	for name, f := range map[string]Flow{
-		"not a number": {
+	for _, v := range []float64{math.NaN(), -1, math.Inf(1)} {
+		f := Flow{
 			Service: testService,
-			LetIn:   math.NaN(),
-		},
-		"negative": {
-			Service: testService,
-			Offered: [classCount]float64{-1},
-		},
-		"endless": {
-			Service: testService,
-			Offered: [classCount]float64{math.Inf(1)},
-		},
-	} {
+			LetIn:   v,
+		}
 		if got := r.MergeFlow(1000, f); got != Invalid {
-			t.Errorf("%s: result %d", name, got)
+			t.Errorf("%f let in: result %d", v, got)
+		}
+		f.LetIn, f.Offered[0] = 0, v
+		if got := r.MergeFlow(1000, f); got != Invalid {
+			t.Errorf("%f offered: result %d", v, got)
 		}
 	}
-	if got := r.MergeFlow(1000, Flow{
+	f := Flow{
 		Service: 77,
-	}); got != Known {
+	}
+	if got := r.MergeFlow(1000, f); got != Known {
 		t.Errorf("a service that nobody states: result %d", got)
 	}
 }
--- a/internal/trans/flow/account.go
+++ b/internal/trans/flow/account.go
@@ -24,6 +24,10 @@
 	isCall bool
 }
 
+// isCaller reports whether the request with the id, whose parent is not known, is a
+// caller's. A call that has lost its parent carries no key, and an id of a call's form.
+func (w identity) isCaller(id string) bool { return w.account != nil || !isCallID(id) }
+
 // denial says why a request was not let in.
 type denial struct {
 	end    string
--- a/internal/trans/flow/inbound.go
+++ b/internal/trans/flow/inbound.go
@@ -397,8 +397,9 @@
 	st := gate.Stats()
 	n.mu.Lock()
 	id := n.targetRecord.ID
+	isUsed := id != "" && !n.draining && n.leavingSince == 0
 	n.mu.Unlock()
-	if id == "" {
+	if !isUsed {
 		return
 	}
 	n.rooms.state(now, room.Own{
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -153,7 +153,7 @@
 		reply.Close = true
 		return reply
 	}
-	if parent == nil && !isCallID(id) && !o.local.rooms.decide(&o.cfg, r.Arrived, c) {
+	if parent == nil && who.isCaller(id) && !o.local.rooms.decide(&o.cfg, r.Arrived, c) {
 		const reason = "not run: " + peer.ReasonNoRoom
 		return o.answerDirectly(r, v, event.EndRefused, peer.ReasonNoRoom, o.cfg.refusal(id, reason, noRoomRetryAfter))
 	}
--- a/internal/trans/flow/rooms_test.go
+++ b/internal/trans/flow/rooms_test.go
@@ -182,42 +182,17 @@
 // Guards against uploads alone that do not switch learning on, and against learning
 // where a configuration asks for none of both.
 func TestLearns(t *testing.T) {
-	tests := map[string]struct {
-		view *model.View
-		want bool
-	}{
-		"accounts": {
-			view: viewOf(t, "hut"),
-			want: true,
-		},
-		"neither": {
-			view: viewOf(t),
-		},
-		"uploads": {
-			view: &model.View{
-				Config: &model.Config{
-					Version: 1,
-					Hosts: map[string][]model.Route{
-						"h": {
-							{
-								Upload: true,
-							},
-						},
-					},
-				},
+	uploads := viewOf(t)
+	uploads.Config.Hosts = map[string][]model.Route{
+		"h": {
+			{
+				Upload: true,
 			},
-			want: true,
-		},
-		"no configuration": {
-			view: &model.View{},
 		},
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			side := newTestSide(clock.NewFake(clock.Minute), tt.view)
-			if got := side.in.rooms.isOn(tt.view); got != tt.want {
-				t.Errorf("got %t", got)
-			}
-		})
+	for v, want := range map[*model.View]bool{viewOf(t, "hut"): true, viewOf(t): false, uploads: true, {}: false} {
+		if got := newTestSide(clock.NewFake(clock.Minute), v).in.rooms.isOn(v); got != want {
+			t.Errorf("%+v: got %t", v.Config, got)
+		}
 	}
 }
