--- a/internal/bench/send.go
+++ b/internal/bench/send.go
@@ -16,7 +16,9 @@
 	req   *requestContext
 	depth int
 	// budget holds the retry units that the call may still spend.
-	budget   *retry.Budget
+	budget *retry.Budget
+	// caller is the request that makes the call, nil for a root request.
+	caller   *inboundCall
 	tried    []string
 	inFlight []*attempt
 	ended    bool
@@ -33,6 +35,11 @@
 // send sends a call with a retry budget of units. When the call ends, done gets
 // its result and the unspent units.
 func (d *daemon) send(op *Operation, req *requestContext, depth, units int, done func(pick.Outcome, int)) {
+	d.sendFrom(nil, op, req, depth, units, done)
+}
+
+// sendFrom sends a call that a request makes, like send.
+func (d *daemon) sendFrom(caller *inboundCall, op *Operation, req *requestContext, depth, units int, done func(pick.Outcome, int)) {
 	c := &call{
 		d:      d,
 		op:     op,
@@ -40,8 +47,9 @@
 		depth:  depth,
 		budget: retry.NewBudget(units),
 		done:   done,
+		caller: caller,
 	}
-	if !c.startAttempt() {
+	if !c.isLetIn() || !c.startAttempt() {
 		c.end(pick.Refused)
 		return
 	}
@@ -62,6 +70,7 @@
 		Bytes:       c.estimatedBytes(),
 		TimeLeft:    (c.req.deadline - f.at).milli(),
 		LatencyGoal: c.latencyGoal(),
+		LetIn:       f.learns() && c.depth > 0,
 	}
 	if !f.system.Control {
 		q.Exclude = nil
@@ -111,7 +120,10 @@
 		if f.isCut(c.d.centre, a.to.centre) {
 			return
 		}
+		n := a.to.news()
 		f.after(f.latency(c.d.centre, a.to.centre), func() {
+			c.d.learn(a.to, n)
+			c.learnNeeds(o.needs)
 			if !c.ended {
 				c.budget.Return(units, o.unspent)
 				c.recordFeedback(a, o)
@@ -119,7 +131,11 @@
 			}
 		})
 	}
-	f.after(latency, func() { a.to.target.arrive(a.inbound) })
+	n := c.d.news()
+	f.after(latency, func() {
+		a.to.learn(c.d, n)
+		a.to.target.arrive(a.inbound)
+	})
 }
 
 // lose ends an attempt that has no answer at its deadline.
--- a/internal/trans/flow/early.go
+++ b/internal/trans/flow/early.go
@@ -179,10 +179,16 @@
 		return peer.ReasonLeaving
 	case n.isOtherTarget(hop.Target):
 		return peer.ReasonReplaced
-	case !n.DownstreamThreshold(hop.Path).Passes(hop.Importance, hop.RootHash):
+	case !n.isLetIn(hop) && !n.DownstreamThreshold(hop.Path).Passes(hop.Importance, hop.RootHash):
 		return peer.ReasonDownstream
 	case n.endsBefore(deadline):
 		return peer.ReasonEnding
 	}
 	return ""
 }
+
+// isLetIn reports whether the request belongs to a chain of calls that was decided on
+// at its entry, so that thresholds do not hold it back.
+func (n *Inbound) isLetIn(hop peer.Hop) bool {
+	return hop.Depth > 0 && n.rooms.isOn(n.cfg.View())
+}
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"siskinswitch.example/siskin/internal/proto/event"
+	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/admit"
 	"siskinswitch.example/siskin/internal/state/guard"
 	"siskinswitch.example/siskin/internal/state/model"
@@ -146,6 +147,10 @@
 	}
 	r.Fields = o.setIdentity(r.Fields, e.view, e.who)
 	c := o.newCall(r, e)
+	if parent == nil && e.who.isCaller(id) && !o.local.rooms.decide(&o.cfg, r.Arrived, c) {
+		const reason = "not run: " + peer.ReasonNoRoom
+		return o.answerDirectly(r, e.view, event.EndRefused, peer.ReasonNoRoom, o.cfg.refusal(id, reason, noRoomRetryAfter))
+	}
 	ctx, cancel := http1.WithTimeout(ctx, c.deadline-o.cfg.Clock.Now())
 	defer cancel()
 	until, denied := o.limit(ctx, c, e.who)
