--- a/internal/proto/event/event.go
+++ b/internal/proto/event/event.go
@@ -61,6 +61,8 @@
 	LimitLearned     = Event{Number: 403, Text: "concurrency limit of the target was learned"}
 	TargetSlow       = Event{Number: 404, Text: "target is far slower than usual"}
 	TargetUsual      = Event{Number: 405, Text: "target is about as fast as usual again"}
+	HoldsBack        = Event{Number: 410, Text: "callers' requests are refused, because their chains of calls have no room"}
+	LetsIn           = Event{Number: 411, Text: "callers' requests are no longer refused for their chains of calls"}
 	Answered         = Event{Number: 500, Text: "request answered"}
 	Attempt          = Event{Number: 501, Text: "attempt at the target ended"}
 	LinesOmitted     = Event{Number: 502, Text: "log lines left out"}
@@ -141,6 +143,8 @@
 		LimitLearned,
 		TargetSlow,
 		TargetUsual,
+		HoldsBack,
+		LetsIn,
 		Answered,
 		Attempt,
 		LinesOmitted,
--- a/internal/proto/peer/peer.go
+++ b/internal/proto/peer/peer.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"siskinswitch.example/siskin/internal/state/admit"
+	"siskinswitch.example/siskin/internal/state/room"
 	"siskinswitch.example/siskin/internal/state/rules"
 	"siskinswitch.example/siskin/internal/state/ticket"
 	"siskinswitch.example/siskin/pkg/clock"
@@ -105,6 +106,9 @@
 	// ReasonDownstream means that a service further downstream would refuse the
 	// request.
 	ReasonDownstream = "deeper"
+	// ReasonNoRoom means that the entry let the request in nowhere, because a service
+	// of its chain of calls has no room for it.
+	ReasonNoRoom = "chain"
 	// ReasonCanceled means that the sender left while the request waited.
 	ReasonCanceled = "canceled"
 )
@@ -160,6 +164,9 @@
 	Ends clock.Milli
 	// Room is what was learned of the target. It travels in [HeaderRoom].
 	Room Room
+	// Needs are the calls to overloaded services that the request needed. They travel
+	// in [HeaderLoad].
+	Needs []room.Need
 	// Received says that the feedback came from the daemon beside the target.
 	// It is false for feedback that the sender infers, for example from a
 	// failed exchange, and it is not sent.
@@ -231,7 +238,7 @@
 	}, nil
 }
 
-// String returns f as the value of [HeaderFeedback]. Ends, Room and Received
+// String returns f as the value of [HeaderFeedback]. Ends, Room, Needs and Received
 // are left out.
 func (f Feedback) String() string {
 	return strings.Join([]string{
--- a/internal/trans/flow/admit.go
+++ b/internal/trans/flow/admit.go
@@ -21,15 +21,22 @@
 	if !ok {
 		return n.refuse(r, hop, peer.ReasonLeaving)
 	}
+	learns := n.rooms.isOn(n.cfg.View())
 	deadline := now + timeLeft(r, n.cfg.Headers.Deadline)
 	if reason := n.refusalReason(now, hop, deadline); reason != "" {
 		return n.refuse(r, hop, reason)
 	}
+	expected := clock.Milli(0)
+	if learns {
+		expected = max(gate.Stats().ExpectedTime, 1)
+		n.rooms.arrive(now, expected)
+	}
 	req, d, signals := gate.Offer(admit.Request{
 		Path:       hop.Path,
 		Importance: hop.Importance,
 		RootHash:   hop.RootHash,
 		Depth:      hop.Depth,
+		LetIn:      n.isLetIn(hop),
 		Deadline:   deadline,
 	})
 	switch d.Verdict {
@@ -47,7 +54,13 @@
 	res := admit.Result{
 		Took: -1,
 	}
-	defer func() { gate.Finish(req, res) }()
+	defer func() {
+		gate.Finish(req, res)
+		if expected > 0 {
+			end := n.cfg.Clock.Now()
+			n.rooms.done(end, expected, end-start)
+		}
+	}()
 	if ctx.Err() != nil {
 		return n.refuse(r, hop, peer.ReasonCanceled)
 	}
--- a/internal/trans/flow/flow.go
+++ b/internal/trans/flow/flow.go
@@ -74,6 +74,9 @@
 	// Quota reports a message about rate limits and what became of it; nil ignores
 	// them.
 	Quota func(result string)
+	// HeldBack reports a caller's request that was refused because its chain of calls
+	// has no room. It is optional.
+	HeldBack func()
 	// StatementIgnored reports a statement of another daemon that could not be used,
 	// by its kind. It is optional.
 	StatementIgnored func(kind string)
@@ -126,6 +129,9 @@
 
 // withDefaults returns c with the optional functions set.
 func (c Config) withDefaults() Config {
+	if c.Metrics.HeldBack == nil {
+		c.Metrics.HeldBack = func() {}
+	}
 	if c.Metrics.StatementIgnored == nil {
 		c.Metrics.StatementIgnored = func(string) {}
 	}
--- a/internal/trans/flow/target.go
+++ b/internal/trans/flow/target.go
@@ -30,6 +30,7 @@
 	p.inCalls += run.calls.until(n.cfg.Clock.Now())
 	n.takeStatement(http1.Get(a.Fields, h.Load))
 	a, fb := n.classify(r, a, err)
+	fb.Needs = n.rooms.needsOf(run)
 	fb.ReachedTarget = fb.Reason != peer.ReasonUnreached
 	if a.Status >= fasthttp.StatusInternalServerError && run.callFailed.Load() {
 		fb.Reason = peer.ReasonCallFailed
