Let in what the other region can do while calls go there

Change: answers tell that calls go to the other region now, and the entry then lets in 1.5 of the near capacity.

--- a/internal/bench/room.go
+++ b/internal/bench/room.go
@@ -73,7 +73,12 @@
 		c.d.room.LearnNeed(f.now(), c.op.Path, n)
 	}
 	if c.caller != nil {
-		c.caller.needs = c.d.room.AddCall(f.now(), f.serviceKey(c.op), needs, c.caller.needs)
+		own := room.Need{
+			Service: f.serviceKey(c.op),
+			Calls:   1,
+			Spills:  c.picker().Spills(f.now(), c.op.Path),
+		}
+		c.caller.needs = c.d.room.AddCall(f.now(), own, needs, c.caller.needs)
 	}
 }
 
--- a/internal/proto/peer/load.go
+++ b/internal/proto/peer/load.go
@@ -29,7 +29,7 @@
 	leastAmount           = 1.0 / 1024
 	loadFlowAmounts       = len(room.Flow{}.Offered) + 1
 
-	needBytes = loadKeyDigits + loadAmountDigits
+	needBytes = loadKeyDigits + loadAmountDigits + 1
 	loadBytes = 2*loadKeyDigits + loadIncarnationDigits + loadSeqDigits + 2*loadAmountDigits + loadAgeDigits
 	flowBytes = loadKeyDigits + loadFlowAmounts*loadAmountDigits
 )
@@ -54,6 +54,7 @@
 	for _, need := range n.Needs {
 		b = appendDigits(b, uint64(need.Service), loadKeyDigits)
 		b = appendAmount(b, need.Calls)
+		b = append(b, formatBool(need.Spills)...)
 	}
 	b = append(b, '.')
 	for _, l := range n.Loads {
@@ -147,6 +148,7 @@
 		n.Needs = append(n.Needs, room.Need{
 			Service: r.key(),
 			Calls:   r.amount(),
+			Spills:  r.number(1) == 1,
 		})
 	})
 	if err != nil {
--- a/internal/proto/peer/load_test.go
+++ b/internal/proto/peer/load_test.go
@@ -16,6 +16,7 @@
 			{
 				Service: 7,
 				Calls:   8,
+				Spills:  true,
 			},
 		},
 		Loads: []room.Load{
@@ -48,7 +49,7 @@
 		t.Errorf("got %+v, want %+v", l, w)
 	}
 	l.Capacity, l.Demand = w.Capacity, w.Demand
-	if l != w || got.Loads[1] != want.Loads[1] || !near(got.Needs[0].Calls, 8) || !near(got.Flows[0].LetIn, 3) {
+	if l != w || got.Loads[1] != want.Loads[1] || !near(got.Needs[0].Calls, 8) || !got.Needs[0].Spills || !near(got.Flows[0].LetIn, 3) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	for i, v := range got.Flows[0].Offered {
@@ -63,7 +64,7 @@
 func FuzzParseRoomNews(f *testing.F) {
 	f.Add("")
 	f.Add("00000...")
-	f.Add("00000.0000001..")
+	f.Add("00000.00000010..")
 	f.Add("00000..zzzzzzzzzzzzzzzzzzzzzzzzzzz.")
 	f.Add("00000..." + strings.Repeat("z", 15*9))
 	f.Add("-1+00...")
--- a/internal/state/pick/spill.go
+++ b/internal/state/pick/spill.go
@@ -16,6 +16,8 @@
 	// spillProbeEvery is the time between two calls that probe a far target of
 	// unknown load while the near targets are full.
 	spillProbeEvery = 500 * clock.Millisecond
+	// spillLifetime is how long a decision is known to others without a new one.
+	spillLifetime = 500 * clock.Millisecond
 	// reserveStepPercent is the part of the link's byte budget that each
 	// importance must leave to the next higher one.
 	reserveStepPercent = 25
@@ -55,6 +57,13 @@
 	return false
 }
 
+// Spills reports whether calls of an operation may go to targets of the other region
+// now, because the near ones are full and far ones have spare capacity.
+func (p *Picker) Spills(now clock.Milli, op string) bool {
+	o, ok := p.operations[op]
+	return ok && o.spill.allowed && now-o.spill.decidedAt < spillLifetime
+}
+
 // isNearFull reports whether no target of the region can run the call at once.
 func (p *Picker) isNearFull(now clock.Milli, q *Query) bool {
 	for _, t := range p.near {
--- a/internal/state/room/decide.go
+++ b/internal/state/room/decide.go
@@ -85,6 +85,9 @@
 	level      float64
 	computedAt clock.Milli
 	stated     bool
+	// spillsUntil is the instant until which calls are known to go to the other region
+	// too.
+	spillsUntil clock.Milli
 }
 
 func (s *service) remove(e *entry) {
@@ -158,7 +161,11 @@
 	if youngest >= maxAge || demand == 0 || total < leastOffer {
 		return 0
 	}
-	change := wantedLoad * capacity / demand
+	wanted := wantedLoad
+	if now < s.spillsUntil {
+		wanted = spillLoad
+	}
+	change := wanted * capacity / demand
 	if change > idleChange {
 		change *= change
 	}
@@ -198,6 +205,8 @@
 	Service uint32
 	// Calls is the number of calls, more than 0.
 	Calls float64
+	// Spills says that calls may go to targets of the other region.
+	Spills bool
 }
 
 func (n *Need) isValid() bool { return n.Service < Keys && n.Calls > 0 && n.Calls <= MaxCalls }
@@ -297,6 +306,9 @@
 	if rt := r.route(now, path); rt != nil {
 		rt.add(now, n)
 	}
+	if s, ok := r.services[n.Service]; ok && n.Spills {
+		s.spillsUntil = now + spillLifetime
+	}
 	return Adopted
 }
 
@@ -338,13 +350,10 @@
 	return len(r.routes) < maxRoutes
 }
 
-// AddCall adds to needs a call that a request made to a service, which in turn needed
-// calls itself. Only services about which a statement counts are added.
-func (r *Room) AddCall(now clock.Milli, service uint32, below []Need, needs []Need) []Need {
-	needs = r.addNeed(now, Need{
-		Service: service,
-		Calls:   1,
-	}, needs)
+// AddCall adds to needs a call that a request made, and the calls that it needed in
+// turn. Only services about which a statement counts are added.
+func (r *Room) AddCall(now clock.Milli, call Need, below []Need, needs []Need) []Need {
+	needs = r.addNeed(now, call, needs)
 	for _, n := range below {
 		if n.isValid() {
 			needs = r.addNeed(now, n, needs)
@@ -357,6 +366,7 @@
 	for i := range needs {
 		if needs[i].Service == n.Service {
 			needs[i].Calls = min(needs[i].Calls+n.Calls, MaxCalls)
+			needs[i].Spills = needs[i].Spills || n.Spills
 			return needs
 		}
 	}
--- a/internal/state/room/room.go
+++ b/internal/state/room/room.go
@@ -86,6 +86,11 @@
 	// wantedLoad is the demand, as a fraction of the capacity, that is let in. The rest
 	// evens out chance.
 	wantedLoad = 0.9
+	// spillLoad is the same while calls go to the other region too, which they do only
+	// when all near targets are full.
+	spillLoad = 1.5
+	// spillLifetime is how long that is believed after an answer said so.
+	spillLifetime = 500 * clock.Millisecond
 	// levelInterval is the time between two computations of a service's level.
 	levelInterval = 20 * clock.Millisecond
 	// maxAhead is how far the clock of another host may be ahead of this one's.
--- a/internal/state/room/room_test.go
+++ b/internal/state/room/room_test.go
@@ -296,10 +296,6 @@
 		paths := make([]string, routes)
 		for i := range paths {
 			paths[i] = fmt.Sprint("route", i)
-			r.LearnNeed(1, paths[i], Need{
-				Service: testService,
-				Calls:   8,
-			})
 		}
 		b.ReportAllocs()
 		b.ResetTimer()
@@ -310,6 +306,12 @@
 				for d := range uint32(daemons) {
 					r.Merge(now, testWall, loadOf(d, int64(i/20+1), 20))
 				}
+				for _, path := range paths {
+					r.LearnNeed(now, path, Need{
+						Service: testService,
+						Calls:   8,
+					})
+				}
 				b.StartTimer()
 			}
 			r.Decide(now, paths[i%routes], 2, rules.Normal, uint64(i)<<40)
@@ -350,6 +352,10 @@
 	least := time.Hour
 	now := clock.Milli(1000)
 	for series := range int64(20) {
+		r.LearnNeed(now, testPath, Need{
+			Service: testService,
+			Calls:   8,
+		})
 		for d := range uint32(daemons) {
 			r.Merge(now, testWall, loadOf(d, series+1, 20))
 		}
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -49,8 +49,8 @@
 			break
 		}
 		a, fb := o.attempt(ctx, c, &t)
-		o.finishAttempt(s, c, t, flight, fb)
-		o.local.rooms.learnNeeds(&o.cfg, c, fb.Needs)
+		spills := o.finishAttempt(s, c, t, flight, fb)
+		o.local.rooms.learnNeeds(&o.cfg, c, fb.Needs, spills)
 		c.reason = fb.Outcome.String() + " " + fb.Reason
 		c.recordAttempt(t.ID, fb)
 		switch fb.Outcome {
@@ -197,8 +197,8 @@
 }
 
 // finishAttempt reports the end of an attempt to the picker and applies the
-// feedback.
-func (o *Outbound) finishAttempt(s *service, c *call, t model.Target, f pick.Call, fb peer.Feedback) {
+// feedback. It reports whether such calls may go to the other region now.
+func (o *Outbound) finishAttempt(s *service, c *call, t model.Target, f pick.Call, fb peer.Feedback) (spills bool) {
 	now := o.cfg.Clock.Now()
 	outcome := pick.Failed
 	switch {
@@ -221,6 +221,7 @@
 	if fb.Leaving {
 		o.ejectTarget(s, now, t.ID, peer.ReasonLeaving)
 	}
+	return s.picker.Spills(now, c.route.Name)
 }
 
 // isTargetAbsent reports whether the target is gone: it or its daemon could not
--- a/internal/trans/flow/rooms.go
+++ b/internal/trans/flow/rooms.go
@@ -182,8 +182,9 @@
 }
 
 // learnNeeds records what an answer told of the calls that the request of c needed, for
-// its route and for the request that made c.
-func (k *rooms) learnNeeds(cfg *Config, c *call, needs []room.Need) {
+// its route and for the request that made c. spills says that calls like c may go to the
+// other region.
+func (k *rooms) learnNeeds(cfg *Config, c *call, needs []room.Need, spills bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := cfg.Clock.Now()
@@ -196,7 +197,12 @@
 		}
 	}
 	if c.parent != nil {
-		c.parent.needs = k.room.AddCall(now, room.KeyOf(c.service), needs, c.parent.needs)
+		own := room.Need{
+			Service: room.KeyOf(c.service),
+			Calls:   1,
+			Spills:  spills,
+		}
+		c.parent.needs = k.room.AddCall(now, own, needs, c.parent.needs)
 	}
 }
 
--- a/internal/trans/flow/rooms_test.go
+++ b/internal/trans/flow/rooms_test.go
@@ -88,7 +88,7 @@
 		t.Fatalf("needs %v, fields %v", needs, left)
 	}
 	root := entry.enter(v, "x", "")
-	entry.out.local.rooms.learnNeeds(&entry.out.cfg, root, needs)
+	entry.out.local.rooms.learnNeeds(&entry.out.cfg, root, needs, false)
 	refused, last := 0, ""
 	for i := range 100 {
 		if last = ask(string(rune('0' + i))); last == peer.ReasonNoRoom {
