--- a/internal/trans/flow/rooms_test.go
+++ b/internal/trans/flow/rooms_test.go
@@ -33,7 +33,7 @@
 
 // publicView returns a view with accounts in force, and one route, which is public.
 func publicView(t *testing.T) *model.View {
-	v := viewOf(t, "hut")
+	v := accountsView(t, "hut")
 	v.Config.Hosts = map[string][]model.Route{
 		"h": {
 			{
@@ -88,7 +88,7 @@
 		t.Fatalf("needs %v, fields %v", needs, left)
 	}
 	root := entry.enter(v, "x", "")
-	entry.out.local.rooms.learnNeeds(&entry.out.cfg, root, needs)
+	entry.out.local.rooms.learnNeeds(&entry.out.cfg, root, needs, false)
 	refused, last := 0, ""
 	for i := range 100 {
 		if last = ask(string(rune('0' + i))); last == peer.ReasonNoRoom {
@@ -123,7 +123,7 @@
 // another region.
 func TestNewsBetweenDaemons(t *testing.T) {
 	c := clock.NewFake(clock.Minute)
-	on, off := publicView(t), viewOf(t)
+	on, off := publicView(t), accountsView(t)
 	made := []guard.Field{
 		{
 			Name:  peer.HeaderLoad,
@@ -182,7 +182,7 @@
 // Guards against uploads alone that do not switch learning on, and against learning
 // where a configuration asks for none of both.
 func TestLearns(t *testing.T) {
-	uploads := viewOf(t)
+	uploads := accountsView(t)
 	uploads.Config.Hosts = map[string][]model.Route{
 		"h": {
 			{
@@ -190,7 +190,7 @@
 			},
 		},
 	}
-	for v, want := range map[*model.View]bool{viewOf(t, "hut"): true, viewOf(t): false, uploads: true, {}: false} {
+	for v, want := range map[*model.View]bool{accountsView(t, "hut"): true, accountsView(t): false, uploads: true, {}: false} {
 		if got := newTestSide(clock.NewFake(clock.Minute), v).in.rooms.isOn(v); got != want {
 			t.Errorf("%+v: got %t", v.Config, got)
 		}
