Decide at the entry only where client accounts are in force

Cause: the decision at the entry sees the regions apart.

Change: it is on where the configuration has client accounts, no longer for upload routes alone.

--- a/internal/trans/flow/rooms.go
+++ b/internal/trans/flow/rooms.go
@@ -29,10 +29,6 @@
 	mu     sync.Mutex
 	room   *room.Room
 	region uint32
-	// learns reports whether the configuration of a version asks for it. It is kept
-	// because it depends on all routes.
-	learns  bool
-	version uint64
 	// heldBack counts the requests that were refused since event 410, and heldBackAt
 	// is the instant of the last one.
 	heldBack   int
@@ -60,14 +56,9 @@
 
 // refresh is isOn for a caller that holds k.mu.
 func (k *rooms) refresh(v *model.View) bool {
-	if v.Config == nil {
-		return false
-	}
-	if v.Config.Version != k.version {
-		k.version = v.Config.Version
-		k.learns = v.Config.Learns()
-	}
-	return k.learns
+	// Where demand is uneven but callers don't compete, the choice over regions serves
+	// more than a decision at the entry, which sees the regions apart.
+	return v.Config != nil && v.Config.Accounts.InForce()
 }
 
 // decide reports whether a caller's request is let in.
--- a/internal/trans/flow/rooms_test.go
+++ b/internal/trans/flow/rooms_test.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// Guards against news that is sent or believed where neither accounts nor uploads are
+// Guards against news that is sent or believed where no client accounts are
 // configured, that a caller makes up, that the target gets to see, or that comes from
 // another region.
 func TestNewsBetweenDaemons(t *testing.T) {
@@ -179,9 +179,9 @@
 	}
 }
 
-// Guards against uploads alone that do not switch learning on, and against learning
-// where a configuration asks for none of both.
-func TestLearns(t *testing.T) {
+// Guards against a decision at the entry for configurations without client accounts,
+// which have not asked for it.
+func TestRoomsAreOnForAccounts(t *testing.T) {
 	uploads := accountsView(t)
 	uploads.Config.Hosts = map[string][]model.Route{
 		"h": {
@@ -190,7 +190,7 @@
 			},
 		},
 	}
-	for v, want := range map[*model.View]bool{accountsView(t, "hut"): true, accountsView(t): false, uploads: true, {}: false} {
+	for v, want := range map[*model.View]bool{accountsView(t, "hut"): true, accountsView(t): false, uploads: false, {}: false} {
 		if got := newTestSide(clock.NewFake(clock.Minute), v).in.rooms.isOn(v); got != want {
 			t.Errorf("%+v: got %t", v.Config, got)
 		}
