Mend what the review of the new parts found

Cause, each read by a reviewer who had not written the part: - The text of a malformed header, with up to 400 of its bytes, went into the log and the answer, and with it the caller's key. - A request with a key whose id had the form of a call of a request in progress passed without a look at its key, and without a token. - Long bodies counted in full in the budget of the link, and were refused early by thresholds, also where no route takes uploads; early refusals compared the hash with thresholds on the order of accounts, and held back calls that had been let in. - A request that held its slot for long counted as many slots of demand. A statement of a restarted daemon with an older clock was ignored for ever. A large answer could close the link budget for minutes. Statements of demand scanned all accounts for each message while there was nothing to state. A released token shortened the lease of others. A bucket of one token lent none while some shares were missing.

Change: fixed texts, keys before ids, and the bounds that each fault names. TestPrecheckKnowsThatCapacityIsShort has an upload route now, since only those are refused early.

--- a/internal/state/fair/fair.go
+++ b/internal/state/fair/fair.go
@@ -257,9 +257,7 @@
 			break
 		}
 	}
-	if sent > 0 {
-		r.sentAt = now
-	}
+	r.sentAt = now
 	return dst
 }
 
--- a/internal/state/pick/bucket.go
+++ b/internal/state/pick/bucket.go
@@ -60,12 +60,13 @@
 	return true
 }
 
-// Charge takes n bytes that have been sent already. The bucket may owe them.
+// Charge takes n bytes that have been sent already. The bucket may owe up to a burst, so
+// that one large answer does not close the link for minutes.
 func (b *Bucket) Charge(now clock.Milli, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens -= int64(n)
+	b.tokens = max(b.tokens-int64(n), -b.burst)
 }
 
 // Left returns the number of bytes in the bucket, negative if it owes some.
--- a/internal/state/quota/borrower.go
+++ b/internal/state/quota/borrower.go
@@ -334,7 +334,9 @@
 	if c == nil || until == 0 {
 		return
 	}
-	if now >= until {
+	c.expire(now)
+	if now >= until || c.held > 0 && until < c.heldUntil {
+		// Held with the others, it would shorten their lease.
 		c.back = min(c.back+1, MaxWant)
 		return
 	}
--- a/internal/state/quota/lender.go
+++ b/internal/state/quota/lender.go
@@ -9,6 +9,9 @@
 const (
 	// inflowTime is the time over which the inflow of shares is averaged.
 	inflowTime = 2 * clock.Second
+	// minInflow is the part of all shares from which on a bucket has room for a token.
+	// At most 20 daemons have it at once.
+	minInflow = 0.05
 	// inflowMargin makes up for the inflow's variation between messages.
 	inflowMargin = 1.25
 	// aliveTime is the time after its last share for which a sender counts as an owner
@@ -230,9 +233,15 @@
 	}
 }
 
-// capacity returns the most tokens that a bucket holds with the present inflow.
+// capacity returns the most tokens that a bucket holds with the present inflow. A bucket
+// without room for a whole token would lend none, so a lender with a notable part of the
+// shares always has room for one.
 func (p *pool) capacity(b *bucket) float64 {
-	return b.account.capacity * min(inflowMargin*p.inflow, 1)
+	c := b.account.capacity * min(inflowMargin*p.inflow, 1)
+	if p.inflow < minInflow {
+		return c
+	}
+	return max(c, 1)
 }
 
 // lend puts the tokens that are given back into a bucket and takes up to want out.
--- a/internal/state/room/meter.go
+++ b/internal/state/room/meter.go
@@ -37,9 +37,11 @@
 
 // Done corrects the demand by a request that held a slot for took and had been expected
 // to need it for cost. A target that rejects requests at once has less demand than it
-// seems on their arrival.
+// seems on their arrival. A request that held its slot for long counts no more than one
+// slot over the time of the average.
 func (r *Room) Done(now, cost, took clock.Milli) {
-	r.meter.add(now, float64(max(took, 0)-max(cost, 1)))
+	cost = max(cost, 1)
+	r.meter.add(now, float64(min(max(took, 0), meterTime+cost)-cost))
 	r.meter.demand = max(r.meter.demand, 0)
 }
 
--- a/internal/state/room/room.go
+++ b/internal/state/room/room.go
@@ -227,7 +227,7 @@
 	}
 	e, ok := r.entries[key]
 	switch {
-	case ok && !l.isNewer(&e.load):
+	case ok && !l.isNewer(&e.load) && now-e.receivedAt < memory:
 		return Known
 	case !ok && len(r.entries) >= maxTargets:
 		r.sweep(now)
--- a/internal/trans/flow/attempt.go
+++ b/internal/trans/flow/attempt.go
@@ -182,7 +182,7 @@
 		RootHash:   c.root,
 		LetIn:      c.depth > 0 && o.local.rooms.isOn(c.view),
 		Exclude:    excluded,
-		Bytes:      linkCost(c.r),
+		Bytes:      linkCost(c),
 	}
 	s.describe(now, c, &q)
 	if c.rejectedBy != "" {
@@ -204,9 +204,14 @@
 	return s.targets[choice.Target], s.picker.Started(now, choice.Target, c.route.Name), nil
 }
 
-// linkCost returns the bytes that a call with the request takes of the link's budget.
-// So an upload crosses the link only while the budget has room for many other calls.
-func linkCost(r *http1.Request) int { return max(typicalCallBytes, min(len(r.Body), maxCallBytes)) }
+// linkCost returns the bytes that a call takes of the link's budget. An upload crosses
+// the link only while the budget has room for many other calls.
+func linkCost(c *call) int {
+	if !c.route.Upload {
+		return typicalCallBytes
+	}
+	return max(typicalCallBytes, min(len(c.r.Body), maxCallBytes))
+}
 
 // finishAttempt reports the end of an attempt to the picker and applies the
 // feedback. It reports whether such calls may go to the other region now.
--- a/internal/trans/flow/early.go
+++ b/internal/trans/flow/early.go
@@ -90,7 +90,7 @@
 // whether it is: because it is not let in, or because every target would refuse it.
 func (o *Outbound) Precheck(r *http1.Request) (http1.Reply, bool) {
 	id := r.Get(o.cfg.Headers.ID)
-	parent := o.local.Parent(id)
+	parent := o.parentOf(r, id)
 	if parent == nil {
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
@@ -135,8 +135,14 @@
 }
 
 // allWouldRefuse reports whether every target of all services of the route would refuse
-// the request.
+// the upload. It reports false for other requests, for calls that were let in with their
+// chain, and for requests of client accounts, whose order is known only once they count
+// as demand.
 func (o *Outbound) allWouldRefuse(e *entry) bool {
+	isLetIn := e.parent != nil && o.local.rooms.isOn(e.view)
+	if !e.route.Upload || isLetIn || e.who.account != nil {
+		return false
+	}
 	now := o.cfg.Clock.Now()
 	importance, root := e.rank()
 	for i := range e.route.Services {
--- a/internal/trans/flow/early_test.go
+++ b/internal/trans/flow/early_test.go
@@ -15,7 +15,7 @@
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
-// newTestOutbound returns an outbound side at the instant now, whose route /u/ has the
+// newTestOutbound returns an outbound side at the instant now, whose upload route /u/ has the
 // only target t of the service s.
 func newTestOutbound(now *clock.Milli) *Outbound {
 	v := &model.View{
@@ -26,6 +26,7 @@
 						Name:       "u",
 						Prefix:     "/u/",
 						AtMostOnce: true,
+						Upload:     true,
 						Priority:   1,
 						Timeout:    2 * clock.Second,
 						Services: []model.WeightedService{
--- a/internal/trans/flow/outbound.go
+++ b/internal/trans/flow/outbound.go
@@ -132,7 +132,7 @@
 // Handle answers one request of a caller.
 func (o *Outbound) Handle(ctx context.Context, r *http1.Request) http1.Reply {
 	id := r.Get(o.cfg.Headers.ID)
-	parent := o.local.Parent(id)
+	parent := o.parentOf(r, id)
 	if parent == nil {
 		o.callers.begin(r.Arrived)
 		defer o.callers.end()
--- a/internal/trans/flow/parent.go
+++ b/internal/trans/flow/parent.go
@@ -8,6 +8,7 @@
 	"siskinswitch.example/siskin/internal/proto/peer"
 	"siskinswitch.example/siskin/internal/state/room"
 	"siskinswitch.example/siskin/internal/state/rules"
+	"siskinswitch.example/siskin/internal/trans/http1"
 	"siskinswitch.example/siskin/pkg/clock"
 )
 
@@ -95,10 +96,20 @@
 // isCallID reports whether an id has the form of a call's.
 func isCallID(id string) bool { return strings.LastIndexByte(id, '.') >= 0 }
 
+// parentOf returns the request in progress that made a call, nil for a caller's
+// request. Targets get no keys, so a request with one is a caller's, whatever its id.
+func (o *Outbound) parentOf(r *http1.Request, id string) *Parent {
+	if r.Get(o.cfg.Headers.Key) != "" {
+		return nil
+	}
+	return o.local.Parent(id)
+}
+
 // Parent returns the request in progress that made the call with the id, or nil
 // if there is none. A target derives the id of a call from the id of the
 // request that it runs by appending a dot and another part. Targets may break
-// this rule: only shedding ranks and the number of retries depend on it.
+// this rule: shedding ranks, the number of retries and, where client accounts are in
+// force, the account of the call depend on it.
 func (n *Inbound) Parent(id string) *Parent {
 	dot := strings.LastIndexByte(id, '.')
 	if dot < 0 {
--- a/internal/trans/flow/rooms.go
+++ b/internal/trans/flow/rooms.go
@@ -49,13 +49,6 @@
 
 // isOn reports whether entries decide for whole chains of calls.
 func (k *rooms) isOn(v *model.View) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.refresh(v)
-}
-
-// refresh is isOn for a caller that holds k.mu.
-func (k *rooms) refresh(v *model.View) bool {
 	// Where demand is uneven but callers don't compete, the choice over regions serves
 	// more than a decision at the entry, which sees the regions apart.
 	return v.Config != nil && v.Config.Accounts.InForce()
@@ -65,7 +58,7 @@
 func (k *rooms) decide(cfg *Config, now clock.Milli, c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.refresh(c.view) {
+	if !k.isOn(c.view) {
 		return true
 	}
 	level, ok := k.room.Decide(now, c.route.Name, room.KeyOf(c.service), c.importance, c.root)
@@ -116,7 +109,7 @@
 func (k *rooms) with(now clock.Milli, v *model.View, fields []guard.Field, needs []room.Need) []guard.Field {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.refresh(v) && k.room.IsActive(now) {
+	if k.isOn(v) && k.room.IsActive(now) {
 		n := peer.RoomNews{
 			Region: k.region,
 			Needs:  needs,
@@ -151,7 +144,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.refresh(cfg.View()) {
+	if !k.isOn(cfg.View()) {
 		return nil, fields
 	}
 	if n.Region != k.region {
@@ -179,7 +172,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := cfg.Clock.Now()
-	if !k.refresh(c.view) || !k.room.IsActive(now) {
+	if !k.isOn(c.view) || !k.room.IsActive(now) {
 		return
 	}
 	for _, n := range needs {
--- a/internal/trans/http1/error.go
+++ b/internal/trans/http1/error.go
@@ -1,6 +1,11 @@
 package http1
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+)
 
 // Kind tells how far a failed exchange got.
 type Kind uint8
@@ -46,3 +51,24 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// headError is a header that could not be read. Its text has none of the bytes of the
+// header, unlike that of its cause: keys must not reach logs and answers.
+type headError struct {
+	cause error
+}
+
+// Error returns what is wrong with the header.
+func (e *headError) Error() string {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(e.cause, &small):
+		return "the header is too large"
+	case statusOf(e.cause) == 0:
+		return "the connection ended within the header"
+	}
+	return "the header is malformed"
+}
+
+// Unwrap returns the cause.
+func (e *headError) Unwrap() error { return e.cause }
--- a/internal/trans/http1/session.go
+++ b/internal/trans/http1/session.go
@@ -200,7 +200,9 @@
 	h := &req.Header
 	h.SetNoDefaultContentType(true)
 	if err := h.Read(c.br); err != nil {
-		return nil, err
+		return nil, &headError{
+			cause: err,
+		}
 	}
 	r := copyRequest(h)
 	r.From = c.raw.RemoteAddr().String()
