Review: entries of another writer exhaust every daemon's memory

Script review/6: 300 entries of 1 MB that cannot be read, written within 30 s. All four daemons exceed 284 MB, are killed as the platform does it, and again after each start (Fault); no request is served.

The stand-ins gain searches for entries that were not shown.

--- a/review/probe2/main.go
+++ b/review/probe2/main.go
@@ -37,6 +37,17 @@
 		os.Exit(runHeads(program, os.Getenv("TROUBLE") != "0", os.Stdout))
 	case "odd2":
 		os.Exit(runOdd2(program))
+	case "foreign":
+		n, _ := strconv.Atoi(os.Args[2])
+		os.Exit(runForeign(program, os.Getenv("TROUBLE") != "0", n, os.Stdout))
+	case "moved":
+		os.Exit(runMoved(program, os.Getenv("TROUBLE") != "0", os.Stdout))
+	case "entries":
+		os.Exit(runEntries(program))
+	case "crowd":
+		n, _ := strconv.Atoi(os.Args[2])
+		m, _ := strconv.Atoi(os.Args[3])
+		os.Exit(runCrowd(program, n, m))
 	case "soak":
 		seed, _ := strconv.ParseInt(os.Args[2], 10, 64)
 		secs, _ := strconv.Atoi(os.Args[3])
--- a/review/probe2/store.go
+++ b/review/probe2/store.go
@@ -33,6 +33,10 @@
 	history  []item
 	kept     int64 // history up to here was dropped
 	mode     string
+	// pageBytes bounds the values of one page, 0 is no bound.
+	pageBytes int
+	// end closes the present address.
+	end func()
 }
 
 func newStore(addr string) (*store, error) {
@@ -47,11 +51,33 @@
 		items:    map[string]item{},
 	}
 	s.changed = sync.NewCond(&s.mu)
+	s.serve(ln)
+	return s, nil
+}
+
+// serve serves readers that connect to ln, and returns what ends that.
+func (s *store) serve(ln net.Listener) (end func()) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/kv-range", s.serveRange)
 	mux.HandleFunc("/v1/kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(ln, mux) }()
-	return s, nil
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(ln) }()
+	if s.end == nil {
+		s.end = func() { _ = server.Close() }
+	}
+	return func() { _ = server.Close() }
+}
+
+// moveTo makes the store answer at another address too, and returns what ends the old one.
+func (s *store) moveTo(addr string) (old func(), err error) {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	old = s.end
+	s.end = s.serve(ln)
+	s.addr = ln.Addr().String()
+	return old, nil
 }
 
 func (s *store) put(key string, value []byte) int64 { return s.change(item{Key: key, Value: value}) }
@@ -114,7 +140,12 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	reply(w, map[string]any{"items": items, "has-more": false, "as-of": revision})
+	n, size := 0, 0
+	for n < len(items) && n < 500 && (n == 0 || s.pageBytes == 0 || size+len(items[n].Value) <= s.pageBytes) {
+		size += len(items[n].Value)
+		n++
+	}
+	reply(w, map[string]any{"items": items[:n], "has-more": n < len(items), "as-of": revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
