Review: changes of another writer's entries hold the configuration back

Watches overflow, each daemon lists the whole store again and again, and a version is in force only after whole lists: 8 to 16 of 24 requests, sent 2.6 s and more after the ack, are run by the old service (CONFIG).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/siskind ] && [ -x target/probe2 ] || exit 2
-target/probe2 moved > "$here/record.txt" 2>&1
+target/probe2 heads > "$here/record.txt" 2>&1
 code=$?
 tail -n 1 "$here/record.txt"
 exit $code
--- a/review/probe2/main.go
+++ b/review/probe2/main.go
@@ -48,6 +48,10 @@
 		n, _ := strconv.Atoi(os.Args[2])
 		m, _ := strconv.Atoi(os.Args[3])
 		os.Exit(runCrowd(program, n, m))
+	case "churn":
+		n, _ := strconv.Atoi(os.Args[2])
+		m, _ := strconv.Atoi(os.Args[3])
+		os.Exit(runChurn(program, os.Getenv("TROUBLE") != "0", n, m, os.Stdout))
 	case "soak":
 		seed, _ := strconv.ParseInt(os.Args[2], 10, 64)
 		secs, _ := strconv.Atoi(os.Args[3])
--- a/review/probe2/store.go
+++ b/review/probe2/store.go
@@ -35,6 +35,11 @@
 	mode     string
 	// pageBytes bounds the values of one page, 0 is no bound.
 	pageBytes int
+	// answerTime is the time of an answer and bytesPerSecond the bandwidth that all
+	// readers share, 0 is no bound.
+	answerTime     time.Duration
+	bytesPerSecond int
+	link           sync.Mutex
 	// end closes the present address.
 	end func()
 }
@@ -103,6 +108,16 @@
 	return s.revision
 }
 
+// forget drops all history but the last n changes.
+func (s *store) forget(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.history) > 2*n {
+		s.history = append([]item(nil), s.history[len(s.history)-n:]...)
+		s.kept = s.history[0].Revision - 1
+	}
+}
+
 func (s *store) setMode(mode string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,7 +160,7 @@
 		size += len(items[n].Value)
 		n++
 	}
-	reply(w, map[string]any{"items": items[:n], "has-more": n < len(items), "as-of": revision})
+	s.reply(w, map[string]any{"items": items[:n], "has-more": n < len(items), "as-of": revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -178,15 +193,21 @@
 		if len(events) > 0 || !time.Now().Before(end) {
 			revision := s.revision
 			s.mu.Unlock()
-			reply(w, map[string]any{"events": events, "as-of": revision})
+			s.reply(w, map[string]any{"events": events, "as-of": revision})
 			return
 		}
 		s.changed.Wait()
 	}
 }
 
-func reply(w http.ResponseWriter, v any) {
+func (s *store) reply(w http.ResponseWriter, v any) {
 	body, _ := json.Marshal(v)
+	time.Sleep(s.answerTime)
+	if s.bytesPerSecond > 0 {
+		s.link.Lock()
+		time.Sleep(time.Duration(float64(len(body)) / float64(s.bytesPerSecond) * float64(time.Second)))
+		s.link.Unlock()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
